--- /dev/null
+++ b/internal/crconfig/crconfig.go
@@ -0,0 +1,35 @@
+// Package crconfig is the configuration: the state machine that the replicated log feeds, and the view of it that a
+// node reads.
+package crconfig
+
+import (
+	"fmt"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+)
+
+// Version orders configurations; it only ever rises on a process.
+type Version struct {
+	// Epoch is the log term of the entry.
+	Epoch uint64
+	// Index is the log index of the entry.
+	Index uint64
+}
+
+// Less reports whether v is older than w.
+func (v Version) Less(w Version) bool {
+	return v.Epoch < w.Epoch || v.Epoch == w.Epoch && v.Index < w.Index
+}
+
+// String returns the version as EPOCH.INDEX.
+func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch, v.Index) }
+
+// Wire returns the version as a message.
+func (v Version) Wire() *crwire.ConfigVersion {
+	return &crwire.ConfigVersion{Epoch: v.Epoch, Index: v.Index}
+}
+
+// VersionOf returns the version that a message holds; a nil message is the zero version.
+func VersionOf(m *crwire.ConfigVersion) Version {
+	return Version{Epoch: m.GetEpoch(), Index: m.GetIndex()}
+}
--- /dev/null
+++ b/internal/crwire/frame.go
@@ -0,0 +1,59 @@
+package crwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// errEnd marks the end of a stream of responses.
+var errEnd = errors.New("crwire: end of stream")
+
+// frameHeaderBytes is the length of the big-endian size before each message.
+const frameHeaderBytes = 4
+
+// writeFrame writes a message with its size in front, in one write.
+func writeFrame(w io.Writer, m proto.Message, limit int) error {
+	buf := make([]byte, frameHeaderBytes, frameHeaderBytes+proto.Size(m))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
+	if err != nil {
+		return crcode.New(crcode.MalformedMessage, "%v", err)
+	}
+	size := len(buf) - frameHeaderBytes
+	if size > limit {
+		return crcode.New(crcode.MessageTooLarge, "%d bytes, at most %d", size, limit)
+	}
+	binary.BigEndian.PutUint32(buf, uint32(size))
+	if _, err := w.Write(buf); err != nil {
+		return crcode.New(crcode.ConnectionLost, "%v", err)
+	}
+	return nil
+}
+
+// readFrame reads one message of at most limit bytes.
+func readFrame(r io.Reader, m proto.Message, limit int) error {
+	var head [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return crcode.New(crcode.ConnectionLost, "%v", err)
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > uint32(limit) {
+		return crcode.New(crcode.MessageTooLarge, "%d bytes, at most %d", size, limit)
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return crcode.New(crcode.ConnectionLost, "%v", err)
+	}
+	return unmarshal(buf, m)
+}
+
+func unmarshal(buf []byte, m proto.Message) error {
+	if err := proto.Unmarshal(buf, m); err != nil {
+		return crcode.New(crcode.MalformedMessage, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/crwire/session.go
@@ -0,0 +1,207 @@
+package crwire
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Session is a connection to another process; both sides may call methods of the other.
+type Session struct {
+	peer Peer
+	mux  *Mux
+	ya   *yamux.Session
+	// ctx ends with the session, so that handlers stop when the other side is gone.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// yamuxConfig finds a silent peer within keepalive interval plus write timeout, 2 s in all.
+func yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = time.Second
+	c.ConnectionWriteTimeout = time.Second
+	c.StreamCloseTimeout = 5 * time.Second
+	c.AcceptBacklog = 4096
+	c.LogOutput = io.Discard
+	return c
+}
+
+func newSession(conn net.Conn, peer Peer, mux *Mux, client bool) (*Session, error) {
+	var (
+		ya  *yamux.Session
+		err error
+	)
+	if client {
+		ya, err = yamux.Client(conn, yamuxConfig())
+	} else {
+		ya, err = yamux.Server(conn, yamuxConfig())
+	}
+	if err != nil {
+		return nil, crcode.New(crcode.ConnectionLost, "%v", err)
+	}
+	s := &Session{peer: peer, mux: mux, ya: ya}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.wg.Add(1)
+	go s.acceptLoop()
+	return s, nil
+}
+
+// Peer returns who is at the other end.
+func (s *Session) Peer() Peer { return s.peer }
+
+// RemoteAddr returns the address of the other end.
+func (s *Session) RemoteAddr() net.Addr { return s.ya.RemoteAddr() }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.ya.CloseChan() }
+
+// Close ends the session and waits for its handlers.
+func (s *Session) Close() error {
+	s.cancel()
+	err := s.ya.Close()
+	s.wg.Wait()
+	return err
+}
+
+func (s *Session) acceptLoop() {
+	defer s.wg.Done()
+	defer s.cancel()
+	for {
+		st, err := s.ya.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.serve(st)
+		}()
+	}
+}
+
+// serve answers one stream; the caller closes the stream to cancel the handler.
+func (s *Session) serve(st *yamux.Stream) {
+	defer func() { _ = st.Close() }()
+	var req Envelope
+	if err := readFrame(st, &req, MaxMessageBytes); err != nil {
+		_ = writeFrame(st, failure(err), MaxMessageBytes)
+		return
+	}
+	h, ok := s.handler(req.GetMethod())
+	if !ok {
+		_ = writeFrame(st, failure(crcode.New(crcode.UnknownMethod, "%q", req.GetMethod())), MaxMessageBytes)
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		defer cancel()
+		var b [1]byte
+		_, _ = st.Read(b[:])
+	}()
+	send := func(m proto.Message) error { return sendMessage(st, "", m) }
+	resp, err := h(ctx, s, req.GetPayload(), send)
+	switch {
+	case err != nil:
+		_ = writeFrame(st, failure(err), MaxMessageBytes)
+	case resp != nil:
+		if err := send(resp); err != nil {
+			_ = writeFrame(st, failure(err), MaxMessageBytes)
+		}
+	}
+}
+
+func (s *Session) handler(method string) (Handler, bool) {
+	if s.mux == nil {
+		return nil, false
+	}
+	h, ok := s.mux.handlers[method]
+	return h, ok
+}
+
+func sendMessage(w io.Writer, method string, m proto.Message) error {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return crcode.New(crcode.MalformedMessage, "%v", err)
+	}
+	return writeFrame(w, &Envelope{Method: method, Payload: payload}, MaxMessageBytes)
+}
+
+// failure turns an error into the envelope that carries it.
+func failure(err error) *Envelope {
+	var e *crcode.Error
+	if !errors.As(err, &e) {
+		e = crcode.New(crcode.Internal, "%v", err)
+	}
+	return &Envelope{Code: uint32(e.Code), Detail: e.Detail, RetryAfterMs: e.RetryAfter.Milliseconds()}
+}
+
+// stream is the calling side of one method call.
+type stream struct {
+	st   *yamux.Stream
+	ctx  context.Context
+	stop func() bool
+}
+
+func (s *Session) open(ctx context.Context, method string, req proto.Message) (*stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err)
+	}
+	st, err := s.ya.OpenStream()
+	if err != nil {
+		return nil, &crcode.Error{Code: crcode.NoServer, Detail: err.Error()}
+	}
+	// A cancelled context unblocks reads and writes at once.
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	out := &stream{st: st, ctx: ctx, stop: stop}
+	if err := sendMessage(st, method, req); err != nil {
+		out.close()
+		return nil, err
+	}
+	return out, nil
+}
+
+func notSent(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return crcode.New(crcode.DeadlineExpired, "before sending")
+	}
+	return crcode.New(crcode.Cancelled, "before sending")
+}
+
+func (c *stream) recv(m proto.Message) error {
+	var env Envelope
+	if err := readFrame(c.st, &env, MaxMessageBytes); err != nil {
+		switch {
+		case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
+			return crcode.New(crcode.DeadlineRunning, "no response in time")
+		case c.ctx.Err() != nil:
+			return crcode.New(crcode.CancelledRun, "cancelled while waiting")
+		}
+		return err
+	}
+	if env.GetCode() != 0 {
+		return &crcode.Error{
+			Code:       crcode.Code(env.GetCode()),
+			Detail:     env.GetDetail(),
+			RetryAfter: time.Duration(env.GetRetryAfterMs()) * time.Millisecond,
+		}
+	}
+	return unmarshal(env.GetPayload(), m)
+}
+
+func (c *stream) close() {
+	c.stop()
+	_ = c.st.Close()
+}
