pkg: add admission, limiter, budget and router

Cause: overload control needs its decisions as pure packages that a node wires together and others may embed. Change: pkg/cradmission (priority, queue, level, level table, reach), pkg/crlimiter (limit by neighbouring windows), pkg/crbudget (split budget, arrival counters, retry ratio, back-off), pkg/crrouter (choice, ejection, probing). Tests for cradmission and crbudget; those of crlimiter and crrouter follow. Conclusion: the APIs can be wired; limiter and router are not tested yet.

--- /dev/null
+++ b/pkg/cradmission/level_test.go
@@ -0,0 +1,193 @@
+package cradmission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+)
+
+// gate is a model of a gate with a queue, a level and a server that completes rate requests per second. Callers know
+// the level of 100 ms ago and send only probes below it.
+type gate struct {
+	queue  cradmission.Queue
+	level  cradmission.Level
+	rnd    *rand.Rand
+	now    time.Time
+	credit float64
+	owed   [8]float64
+	known  []cradmission.Priority
+	done   [8]int
+	sent   [8]int
+}
+
+// kind is one stream of requests per second; the first ones of the slice are protected.
+type kind struct {
+	class cradmission.Class
+	worth uint32
+	rate  float64
+}
+
+func newGate() *gate {
+	return &gate{queue: cradmission.Queue{Length: 100, MaxWait: 500 * time.Millisecond}, rnd: rand.New(rand.NewPCG(3, 4)), now: t0}
+}
+
+// run advances the model by d in steps of 1 ms and clears the counts first.
+func (g *gate) run(d time.Duration, rate float64, kinds []kind) {
+	g.done, g.sent = [8]int{}, [8]int{}
+	for end := g.now.Add(d); g.now.Before(end); g.now = g.now.Add(time.Millisecond) {
+		g.known = append(g.known, g.level.Current())
+		known := g.known[max(len(g.known)-100, 0)]
+		for i, k := range kinds {
+			for g.owed[i] += k.rate / 1000; g.owed[i] >= 1; g.owed[i]-- {
+				g.sent[i]++
+				p := cradmission.NewPriority(k.class, k.worth, fmt.Sprint(g.rnd.Uint64()))
+				if (p < known && !p.Probe()) || !g.level.Arrive(g.now, p) {
+					continue
+				}
+				if r := g.queue.Push(g.now, &cradmission.Item{Priority: p, Value: i}); r != nil {
+					g.level.Waited(g.now, r.Wait(g.now))
+				}
+			}
+		}
+		for _, it := range g.queue.Expire(g.now) {
+			g.level.Waited(g.now, it.Wait(g.now))
+		}
+		for g.credit = min(g.credit+rate/1000, max(rate/1000, 1)); g.credit >= 1; g.credit-- {
+			it, ok := g.queue.Pop(g.now)
+			if !ok {
+				break
+			}
+			g.level.Waited(g.now, it.Wait(g.now))
+			g.level.Completed(g.now)
+			g.done[it.Value.(int)]++
+		}
+		g.level.Tick(g.now)
+	}
+}
+
+func sum(n [8]int) (total int) {
+	for _, v := range n {
+		total += v
+	}
+	return total
+}
+
+var demand = []kind{{cradmission.Protected, 50, 200}, {cradmission.Ordinary, 9, 300}, {cradmission.Ordinary, 2, 500}}
+
+func times(f float64) (out []kind) {
+	for _, k := range demand {
+		k.rate *= f
+		out = append(out, k)
+	}
+	return out
+}
+
+// Guards against lost capacity, shed protected requests and oscillation while demand is three times the capacity.
+func TestLevelKeepsCapacityUsed(t *testing.T) {
+	c := qt.New(t)
+	g := newGate()
+	g.run(2*time.Second, 1000, times(3))
+	lowest := 1 << 30
+	var done, sent [8]int
+	for range 20 {
+		g.run(500*time.Millisecond, 1000, times(3))
+		lowest = min(lowest, sum(g.done))
+		for i := range done {
+			done[i] += g.done[i]
+			sent[i] += g.sent[i]
+		}
+	}
+	c.Logf("done %v of %v in 10 s, worst half second %d of 500", done, sent, lowest)
+	c.Assert(sum(done) >= 9000, qt.IsTrue)
+	c.Assert(lowest >= 400, qt.IsTrue)
+	c.Assert(float64(done[0]) >= 0.99*float64(sent[0]), qt.IsTrue)
+	c.Assert(done[1] > 0 && done[2] < sent[2]/10, qt.IsTrue)
+}
+
+// Guards against a slow end of the overload: 95% of the former goodput within 2 s after the compound fault.
+func TestLevelRecoversWithinTwoSeconds(t *testing.T) {
+	c := qt.New(t)
+	g := newGate()
+	g.run(3*time.Second, 1250, demand)
+	c.Assert(g.level.Current(), qt.Equals, cradmission.Priority(0))
+	g.run(20*time.Second, 125, times(3))
+	c.Logf("fault: done %v of %v", g.done, g.sent)
+	c.Assert(sum(g.done) >= 2250, qt.IsTrue)
+	c.Assert(g.done[1]+g.done[2] <= sum(g.done)/10, qt.IsTrue)
+	g.run(2*time.Second, 1250, demand)
+	g.run(500*time.Millisecond, 1250, demand)
+	c.Logf("after: done %v of %v", g.done, g.sent)
+	c.Assert(float64(sum(g.done)) >= 0.95*500, qt.IsTrue)
+}
+
+// Guards against a level that refuses protected requests before all ordinary ones.
+func TestLevelStrictClassOrder(t *testing.T) {
+	c := qt.New(t)
+	g := newGate()
+	kinds := []kind{{cradmission.Protected, 1, 600}, {cradmission.Ordinary, 1 << 31, 3000}}
+	for range 50 {
+		g.run(200*time.Millisecond, 1000, kinds)
+		if l := g.level.Current(); l.Class() == cradmission.Protected {
+			c.Assert(l, qt.Equals, cradmission.NewPriority(cradmission.Protected, 1, "")&^(1<<31-1), qt.Commentf("cut inside the protected class"))
+		}
+	}
+	c.Assert(g.level.Current() > 0, qt.IsTrue)
+	g.run(2*time.Second, 1000, kinds)
+	c.Assert(float64(g.done[0]) >= 0.99*float64(g.sent[0]), qt.IsTrue)
+	c.Assert(g.done[1] >= 500, qt.IsTrue, qt.Commentf("%d ordinary done, 800 fit", g.done[1]))
+}
+
+// Guards against an unbounded histogram.
+func TestLevelManyWorths(t *testing.T) {
+	c := qt.New(t)
+	var l cradmission.Level
+	for i := range 100_000 {
+		l.Arrive(t0.Add(time.Duration(i)*10*time.Microsecond), cradmission.NewPriority(cradmission.Class(i%2), uint32(i), "x"))
+	}
+	c.Assert(l.Current(), qt.Equals, cradmission.Priority(0))
+}
+
+func BenchmarkArrive(b *testing.B) {
+	b.ReportAllocs()
+	var l cradmission.Level
+	var ps []cradmission.Priority
+	for i := range 1024 {
+		ps = append(ps, cradmission.NewPriority(cradmission.Class(i%2), uint32(i%12), fmt.Sprint(i)))
+	}
+	now := t0
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Microsecond)
+		l.Arrive(now, ps[i%1024])
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	b.ReportAllocs()
+	q := cradmission.Queue{}
+	for i := range 200 {
+		q.Push(t0, &cradmission.Item{Priority: cradmission.NewPriority(0, 1, fmt.Sprint(i))})
+	}
+	it := &cradmission.Item{Priority: cradmission.NewPriority(0, 1, "x")}
+	for b.Loop() {
+		q.Push(t0, it)
+		it, _ = q.Pop(t0)
+	}
+}
+
+func BenchmarkRefuses(b *testing.B) {
+	b.ReportAllocs()
+	var reach cradmission.Reach
+	var table cradmission.LevelTable
+	reach.Learn(t0, "route/read", []string{"ledger", "photo", "price"})
+	table.Learn(t0, cradmission.LevelEntry{Service: "photo", Priority: 5})
+	var buf [cradmission.MaxLevels]cradmission.LevelEntry
+	for b.Loop() {
+		reach.Refuses(t0, "route/read", 9<<31+1, &table)
+		table.AppendAnswer(t0, buf[:0])
+	}
+}
--- /dev/null
+++ b/pkg/cradmission/table.go
@@ -0,0 +1,248 @@
+package cradmission
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// LevelExpiry is how long a learned level holds; without news a service counts as free again.
+	LevelExpiry = time.Second
+	// MaxLevels bounds the levels on one answer.
+	MaxLevels = 16
+	// answerRefresh is how often the levels for answers are collected again, which keeps the cost per answer small.
+	answerRefresh = 20 * time.Millisecond
+)
+
+// LevelEntry is a level as it travels on an answer. An empty Server means the whole service; priority zero means that
+// the service admits everything.
+type LevelEntry struct {
+	Service  string
+	Server   string
+	Priority Priority
+	Age      time.Duration
+}
+
+type levelKey struct{ service, server string }
+
+type levelValue struct {
+	priority Priority
+	at       time.Time
+}
+
+// LevelTable keeps the levels that a node learned from answers. Max is set before use; zero means 1,024 levels.
+type LevelTable struct {
+	Max int
+
+	mu       sync.RWMutex
+	levels   map[levelKey]levelValue
+	answer   []LevelEntry // Age is relative to answered
+	answered time.Time
+}
+
+// Learn stores a level unless it is expired or a fresher one is known.
+func (t *LevelTable) Learn(now time.Time, e LevelEntry) {
+	age := max(e.Age, 0)
+	if age >= LevelExpiry {
+		return
+	}
+	key, v := levelKey{e.Service, e.Server}, levelValue{e.Priority, now.Add(-age)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, known := t.levels[key]
+	if known && old.at.After(v.at) {
+		return
+	}
+	limit := t.Max
+	if limit == 0 {
+		limit = 1024
+	}
+	if !known && len(t.levels) >= limit {
+		t.purge(now)
+		if len(t.levels) >= limit {
+			return
+		}
+	}
+	if t.levels == nil {
+		t.levels = make(map[levelKey]levelValue)
+	}
+	// A level of zero is kept as well, so that an older, higher one cannot come back.
+	t.levels[key] = v
+}
+
+// Level returns the valid level of a service, or of one of its servers when server is not empty; zero means none.
+func (t *LevelTable) Level(now time.Time, service, server string) Priority {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	v, ok := t.levels[levelKey{service, server}]
+	if !ok || now.Sub(v.at) >= LevelExpiry {
+		return 0
+	}
+	return v.priority
+}
+
+// Admits reports whether a request of priority p may be sent to the service; probes always may.
+func (t *LevelTable) Admits(now time.Time, service string, p Priority) bool {
+	return p.Probe() || p >= t.Level(now, service, "")
+}
+
+// AppendAnswer appends the service levels for an answer, at most MaxLevels, the freshest first.
+func (t *LevelTable) AppendAnswer(now time.Time, dst []LevelEntry) []LevelEntry {
+	t.mu.RLock()
+	if d := now.Sub(t.answered); d >= 0 && d < answerRefresh {
+		dst = t.appendCached(d, dst)
+		t.mu.RUnlock()
+		return dst
+	}
+	t.mu.RUnlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.purge(now)
+	t.answer, t.answered = t.answer[:0], now
+	for k, v := range t.levels {
+		if k.server == "" && v.priority > 0 {
+			t.answer = append(t.answer, LevelEntry{Service: k.service, Priority: v.priority, Age: now.Sub(v.at)})
+		}
+	}
+	slices.SortFunc(t.answer, func(a, b LevelEntry) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Service, b.Service))
+	})
+	t.answer = t.answer[:min(len(t.answer), MaxLevels)]
+	return t.appendCached(0, dst)
+}
+
+func (t *LevelTable) appendCached(d time.Duration, dst []LevelEntry) []LevelEntry {
+	for _, e := range t.answer {
+		e.Age += d
+		dst = append(dst, e)
+	}
+	return dst
+}
+
+func (t *LevelTable) purge(now time.Time) {
+	for k, v := range t.levels {
+		if now.Sub(v.at) >= LevelExpiry {
+			delete(t.levels, k)
+		}
+	}
+}
+
+const (
+	// ReachExpiry is how long the reach of a kind is kept without an answer.
+	ReachExpiry = time.Minute
+	// maxReached bounds the services kept per kind.
+	maxReached = 16
+	// likely is the share of runs above which a kind counts as reaching a service.
+	likely = 0.5
+)
+
+// Reach learns from answers which deep services the runs of a kind call. Max is set before use and bounds the kinds;
+// zero means 1,024.
+type Reach struct {
+	Max int
+
+	mu    sync.RWMutex
+	kinds map[string]*reached
+}
+
+type reached struct {
+	at       time.Time
+	answers  int
+	services []string
+	shares   []float64
+}
+
+// Learn counts one complete answer of a kind (named service/kind by the caller) and the services that its run called.
+// Refusals are not learned: they would make the refusing service look unreached.
+func (r *Reach) Learn(now time.Time, kind string, services []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.kinds[kind]
+	if k == nil {
+		if k = r.add(now, kind); k == nil {
+			return
+		}
+	}
+	k.at = now
+	k.answers++
+	weight := max(1/float64(k.answers), 0.02)
+	for i := len(k.services) - 1; i >= 0; i-- {
+		hit := 0.0
+		if slices.Contains(services, k.services[i]) {
+			hit = 1
+		}
+		k.shares[i] += weight * (hit - k.shares[i])
+		if k.shares[i] < 0.01 {
+			k.services = slices.Delete(k.services, i, i+1)
+			k.shares = slices.Delete(k.shares, i, i+1)
+		}
+	}
+	for _, s := range services {
+		if len(k.services) < maxReached && !slices.Contains(k.services, s) {
+			k.services = append(k.services, s)
+			k.shares = append(k.shares, weight)
+		}
+	}
+}
+
+// Of returns the services that most runs of the kind call.
+func (r *Reach) Of(now time.Time, kind string) []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []string
+	if k := r.kinds[kind]; k != nil && now.Sub(k.at) < ReachExpiry {
+		for i, s := range k.services {
+			if k.shares[i] >= likely {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// Refuses reports whether a request of the kind would be refused below, by which service and at which level.
+func (r *Reach) Refuses(now time.Time, kind string, p Priority, t *LevelTable) (service string, level Priority, refused bool) {
+	if p.Probe() {
+		return "", 0, false
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	k := r.kinds[kind]
+	if k == nil || now.Sub(k.at) >= ReachExpiry {
+		return "", 0, false
+	}
+	for i, s := range k.services {
+		if k.shares[i] < likely {
+			continue
+		}
+		if l := t.Level(now, s, ""); p < l && l > level {
+			service, level, refused = s, l, true
+		}
+	}
+	return service, level, refused
+}
+
+func (r *Reach) add(now time.Time, kind string) *reached {
+	limit := r.Max
+	if limit == 0 {
+		limit = 1024
+	}
+	if len(r.kinds) >= limit {
+		for name, k := range r.kinds {
+			if now.Sub(k.at) >= ReachExpiry {
+				delete(r.kinds, name)
+			}
+		}
+		if len(r.kinds) >= limit {
+			return nil
+		}
+	}
+	if r.kinds == nil {
+		r.kinds = make(map[string]*reached)
+	}
+	k := &reached{}
+	r.kinds[kind] = k
+	return k
+}
--- /dev/null
+++ b/pkg/crbudget/crbudget_test.go
@@ -0,0 +1,207 @@
+package crbudget_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/citronramp/citronramp/pkg/crbudget"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// Example embeds the three bounds in a caller that retries one call.
+func Example() {
+	var home crbudget.HomeCounter
+	var ratio crbudget.Ratio
+	rnd := rand.New(rand.NewPCG(1, 2))
+	now := t0
+	granted, ok := home.Arrive(now, "n1-5f3a.1.a", now, 3, 3)
+	fmt.Println("admitted", ok, "granted", granted)
+	budget := crbudget.NewBudget(granted)
+	for attempt := 1; ; attempt++ {
+		part := budget.Delegate() // travels with the call
+		answered, left := attempt == 2, part
+		budget.Return(part, left)
+		if answered || !ratio.Allow(now) || budget.Take(1) == 0 {
+			break
+		}
+		now = now.Add(crbudget.Backoff(attempt, rnd))
+	}
+	home.Return("n1-5f3a.1.a", budget.Remaining())
+	fmt.Println("spent", budget.State().Spent, "left", budget.Remaining())
+	// Output:
+	// admitted true granted 2
+	// spent 1 left 1
+}
+
+// Guards against a budget that creates attempts, whatever the order of calls and the claims of answers.
+func TestBudgetConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 40).Draw(t, "total")
+		tree := []*crbudget.Budget{crbudget.NewBudget(total)}
+		parent, part := []int{-1}, []int{0}
+		open := map[int]bool{0: true}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(tree)-1).Draw(t, "node")
+			if !open[i] {
+				continue
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0:
+				tree[i].Take(rapid.IntRange(-1, 5).Draw(t, "n"))
+			case 1:
+				n := tree[i].Delegate()
+				open[len(tree)] = true
+				tree, parent, part = append(tree, crbudget.NewBudget(n)), append(parent, i), append(part, n)
+			case 2:
+				if i > 0 && open[parent[i]] {
+					open[i] = false
+					tree[parent[i]].Return(part[i], tree[i].Remaining()+rapid.IntRange(0, 9).Draw(t, "lie"))
+				}
+			case 3:
+				if i > 0 && open[parent[i]] {
+					open[i] = false
+					tree[parent[i]].Lose(part[i])
+				}
+			}
+		}
+		root := tree[0].State()
+		if sum := root.Held + root.Spent + root.Delegated + root.Lost; sum != total {
+			t.Fatalf("sum %d of %+v, want %d", sum, root, total)
+		}
+	})
+}
+
+// Guards against more than 1 + R attempts over home and record keepers together, with expiry, eviction and resends.
+func TestCountersNeverExceedBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rapid.IntRange(0, 7).Draw(t, "retries")
+		home := &crbudget.HomeCounter{Max: 6, TTL: time.Second}
+		keeper := &crbudget.HomeCounter{Max: 6, TTL: time.Second, Fallback: true}
+		now, spent, first := t0, map[int]int{}, map[int]bool{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			n := rapid.IntRange(0, 9).Draw(t, "id")
+			id, counter, cost := fmt.Sprint(n), home, 1
+			if rapid.Bool().Draw(t, "fallback") {
+				counter = keeper
+			} else if !first[n] {
+				cost = 0
+			}
+			got, ok := counter.Arrive(now, id, t0.Add(time.Duration(n+1)*200*time.Millisecond), r, rapid.IntRange(0, 9).Draw(t, "want"))
+			if !ok {
+				continue
+			}
+			if counter == home {
+				first[n] = true
+			}
+			back := rapid.IntRange(0, got).Draw(t, "back")
+			counter.Return(id, back)
+			if spent[n] += cost + got - back; spent[n] > r {
+				t.Fatalf("id %d got %d extra attempts, bound %d", n, spent[n], r)
+			}
+			if counter.Len() > 6 {
+				t.Fatalf("%d ids kept", counter.Len())
+			}
+		}
+	})
+}
+
+// Guards against a forgotten id that counts as new, and against a creation time that blocks other ids.
+func TestForgottenIDFailsClosed(t *testing.T) {
+	c := qt.New(t)
+	h := &crbudget.HomeCounter{TTL: time.Second}
+	_, ok := h.Arrive(t0, "a", t0, 3, 1)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = h.Arrive(t0, "future", t0.Add(time.Hour), 3, 1)
+	c.Assert(ok, qt.IsFalse)
+	for i := range 2 {
+		later := t0.Add(time.Duration(i+1) * time.Second)
+		_, ok = h.Arrive(later, fmt.Sprint(i), later, 3, 1)
+		c.Assert(ok, qt.IsTrue)
+	}
+	_, ok = h.Arrive(t0.Add(2*time.Second), "a", t0, 3, 1)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(h.Fence(), qt.Equals, time.UnixMilli(t0.UnixMilli()))
+}
+
+// Guards against a retry storm: without successes only the constant rate is left, however long the calm before was.
+func TestRatioBoundsRetries(t *testing.T) {
+	c := qt.New(t)
+	var r crbudget.Ratio
+	r.Allow(t0)
+	for range 100_000 {
+		r.Succeeded()
+	}
+	allowed := 0
+	for i := range 10_000 {
+		if r.Allow(t0.Add(time.Duration(i) * time.Millisecond)) {
+			allowed++
+		}
+	}
+	c.Assert(allowed <= 20+10, qt.IsTrue, qt.Commentf("%d retries without success in 10 s", allowed))
+	allowed = 0
+	now := t0.Add(10 * time.Second)
+	for range 1000 {
+		r.Succeeded()
+		if r.Allow(now) {
+			allowed++
+		}
+	}
+	c.Assert(allowed >= 100 && allowed <= 101, qt.IsTrue, qt.Commentf("%d retries for 1000 successes", allowed))
+}
+
+// Guards against a back-off without jitter or above its bound.
+func TestBackoffSpreads(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for attempt := -1; attempt < 80; attempt++ {
+		ceiling := min(crbudget.BackoffBase<<min(max(attempt-1, 0), 8), crbudget.BackoffMax)
+		low, high := 0, 0
+		for range 200 {
+			d := crbudget.Backoff(attempt, rnd)
+			c.Assert(d >= 0 && d <= ceiling, qt.IsTrue)
+			if d < ceiling/2 {
+				low++
+			} else {
+				high++
+			}
+		}
+		c.Assert(low > 60 && high > 60, qt.IsTrue)
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	b.ReportAllocs()
+	budget := crbudget.NewBudget(4)
+	for b.Loop() {
+		n := budget.Delegate()
+		budget.Return(n, n)
+	}
+}
+
+func BenchmarkArrive(b *testing.B) {
+	b.ReportAllocs()
+	ids := make([]string, 1<<15)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("n1-5f3a.%d.0011223344556677", i)
+	}
+	var h crbudget.HomeCounter
+	for i := 0; b.Loop(); i++ {
+		h.Arrive(t0, ids[i%len(ids)], t0, 3, 3)
+	}
+}
+
+func BenchmarkRatio(b *testing.B) {
+	b.ReportAllocs()
+	var r crbudget.Ratio
+	for b.Loop() {
+		r.Succeeded()
+		r.Allow(t0)
+	}
+}
--- /dev/null
+++ b/pkg/crlimiter/crlimiter.go
@@ -0,0 +1,202 @@
+// Package crlimiter adapts the concurrency limit of one backend server to what its gate measures. It has no clock and
+// no goroutine and is safe for concurrent use.
+//
+// The limiter compares neighbouring windows that ran at different concurrency. The throughput of the higher one times
+// the latency of the lower one estimates how many requests the server really works on at once (Little's law). Work
+// that became slower for other reasons changes both windows alike, so it does not lower the limit.
+package crlimiter
+
+import (
+	"sync"
+	"time"
+)
+
+// Result tells how a run ended.
+type Result uint8
+
+// The results of a run.
+const (
+	// Success is a complete answer; only successes are measured.
+	Success Result = iota
+	// Failure is an error answer; fast errors must not look like a fast server.
+	Failure
+	// Refused means that the backend server itself reported overload.
+	Refused
+	// Timeout means that no answer came in time.
+	Timeout
+	// Cancelled means that the caller gave up.
+	Cancelled
+)
+
+// Sample is the measurement of one run. Queued is the time in the gate's own queue and is not part of Latency.
+type Sample struct {
+	Latency time.Duration
+	Queued  time.Duration
+	Result  Result
+}
+
+// Limiter is the adaptive limit. Fields are set before use: Slots are the announced slots and the first limit; Min and
+// Max bound it (zero: 1 and 4 times Slots).
+type Limiter struct {
+	Slots int
+	Min   int
+	Max   int
+
+	mu       sync.Mutex
+	limit    int
+	inFlight int
+	window   window
+	service  time.Duration // moving average of successful latencies
+	state    search
+	refusals time.Time // last cut because of a refusal
+	good     int       // limit before a hang, restored by the first success
+}
+
+// window collects one measurement at one limit.
+type window struct {
+	begin    time.Time // zero until the first event
+	settle   time.Time // samples before this started at the former limit
+	last     time.Time
+	area     float64 // in flight integrated over seconds since settle
+	success  int
+	timeouts int
+	latency  time.Duration // sum over successes
+}
+
+// Acquire takes a place and reports whether there was one.
+func (l *Limiter) Acquire(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	if l.inFlight >= l.limit {
+		return false
+	}
+	l.inFlight++
+	return true
+}
+
+// Release gives a place back and measures the run.
+func (l *Limiter) Release(now time.Time, s Sample) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now)
+	l.inFlight = max(l.inFlight-1, 0)
+	w := &l.window
+	switch s.Result {
+	case Success:
+		if l.good > 0 {
+			l.set(now, max(l.good, l.limit))
+			l.good, l.state = 0, search{}
+		}
+		l.observe(s.Latency)
+		if !now.Before(w.settle) {
+			w.success++
+			w.latency += s.Latency
+		}
+	case Refused:
+		// One cut per window: all requests in flight may be refused for the same reason.
+		if now.Sub(l.refusals) >= minWindow {
+			l.refusals = now
+			l.set(now, l.limit-max(l.limit/10, 1))
+			l.state = search{}
+		}
+	case Timeout:
+		w.timeouts++
+	}
+	l.evaluate(now)
+}
+
+// Limit returns the limit at present.
+func (l *Limiter) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limit == 0 {
+		return l.clamp(l.Slots)
+	}
+	return l.limit
+}
+
+// InFlight returns the places taken.
+func (l *Limiter) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
+
+// ServiceTime returns the typical latency of a successful run; zero means that none was measured yet.
+func (l *Limiter) ServiceTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.service
+}
+
+// Expected returns the time that a request behind ahead queued ones is expected to need, its own run included.
+func (l *Limiter) Expected(ahead int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := max(l.limit, 1)
+	free := max(limit-l.inFlight, 0)
+	rounds := float64(max(ahead+1-free, 0)) / float64(limit)
+	return l.service + time.Duration(rounds*float64(l.service))
+}
+
+// Announce takes new announced slots; a changed number starts a new search there.
+func (l *Limiter) Announce(now time.Time, slots int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slots == l.Slots || slots <= 0 {
+		return
+	}
+	l.Slots = slots
+	l.state, l.good = search{}, 0
+	l.set(now, slots)
+}
+
+// observe follows a slower server within a few answers, and a faster one as quickly.
+func (l *Limiter) observe(d time.Duration) {
+	if l.service == 0 {
+		l.service = d
+		return
+	}
+	l.service += (d - l.service) / 16
+}
+
+func (l *Limiter) clamp(n int) int {
+	lowest, highest := max(l.Min, 1), l.Max
+	if highest == 0 {
+		highest = max(4*l.Slots, lowest)
+	}
+	return min(max(n, lowest), highest)
+}
+
+// set changes the limit and starts a window that ignores the runs begun at the former one.
+func (l *Limiter) set(now time.Time, n int) {
+	l.limit = l.clamp(n)
+	l.restart(now, min(l.service+l.service/4, maxSettle))
+}
+
+func (l *Limiter) restart(now time.Time, settle time.Duration) {
+	l.window = window{begin: now, settle: now.Add(settle), last: now}
+}
+
+// advance integrates the in-flight count up to now.
+func (l *Limiter) advance(now time.Time) {
+	if l.limit == 0 {
+		l.limit = l.clamp(l.Slots)
+	}
+	w := &l.window
+	if w.begin.IsZero() {
+		l.restart(now, 0)
+		return
+	}
+	from := w.last
+	if from.Before(w.settle) {
+		from = w.settle
+	}
+	if d := now.Sub(from); d > 0 {
+		w.area += float64(l.inFlight) * d.Seconds()
+	}
+	if now.After(w.last) {
+		w.last = now
+	}
+}
--- /dev/null
+++ b/pkg/crlimiter/search.go
@@ -0,0 +1,177 @@
+package crlimiter
+
+import "time"
+
+const (
+	// minWindow and maxSettle bound one measurement; a window also covers one and a half typical latencies.
+	minWindow = 100 * time.Millisecond
+	maxSettle = time.Second
+	// rounds times the limit, but at most maxSuccess, is the number of answers that a window needs; with exponential
+	// service times 200 answers give the mean within about 7%.
+	rounds     = 4
+	maxSuccess = 200
+	// maxWindow bounds a window in time; one that stays short of answers is started again.
+	maxWindow = 2 * time.Second
+	// probeEvery is the pause between probes once a search has settled; a lower probe costs up to 10% of the
+	// throughput for about 150 ms.
+	probeEvery = 2 * time.Second
+	// bound is the share of the limit that must be in flight on average for a window to tell about the limit.
+	bound = 0.85
+	// headroom above the estimated concurrency covers gaps between a release and the next start.
+	headroom = 1.05
+	// tolerance is the change of throughput against the expected direction that marks a change of the server itself.
+	tolerance = 1.1
+)
+
+// measure is the outcome of one window.
+type measure struct {
+	limit      int
+	throughput float64 // successes per second
+	latency    float64 // seconds
+	inFlight   float64 // mean
+}
+
+// search is the state of the comparison: a base window, then a probe at another limit.
+type search struct {
+	base    measure // limit zero: none yet
+	probing bool
+	down    float64 // share by which a lower probe cuts; zero means the first step
+	up      bool    // the next probe is a higher one
+	factor  float64 // factor of a higher probe
+	next    time.Time
+}
+
+// evaluate ends a window that has enough time and answers.
+func (l *Limiter) evaluate(now time.Time) {
+	w := &l.window
+	if l.hung(now) {
+		return
+	}
+	length := now.Sub(w.settle)
+	if length < max(minWindow, l.service+l.service/2) || w.success < min(maxSuccess, rounds*l.limit) {
+		if length > max(maxWindow, 4*l.service) {
+			l.restart(now, 0)
+		}
+		return
+	}
+	m := measure{
+		limit:      l.limit,
+		throughput: float64(w.success) / length.Seconds(),
+		latency:    w.latency.Seconds() / float64(w.success),
+		inFlight:   w.area / length.Seconds(),
+	}
+	l.restart(now, 0)
+	s := &l.state
+	if m.inFlight < bound*float64(m.limit) {
+		// The load does not reach the limit, so the window says nothing about it.
+		if s.probing {
+			l.revert(now)
+		}
+		s.base = measure{}
+		return
+	}
+	if s.probing {
+		l.compare(now, m)
+		return
+	}
+	s.base = m
+	if now.Before(s.next) {
+		return
+	}
+	l.probe(now)
+}
+
+// hung lowers the limit when only timeouts come, and keeps the former limit for the first success.
+func (l *Limiter) hung(now time.Time) bool {
+	w := &l.window
+	if now.Sub(w.begin) < minWindow || w.success > 0 || w.timeouts == 0 {
+		return false
+	}
+	if l.good == 0 {
+		l.good = l.limit
+		if l.state.probing {
+			l.good = l.state.base.limit
+		}
+	}
+	l.state = search{}
+	l.set(now, max(l.good/4, l.limit/2))
+	return true
+}
+
+func (l *Limiter) probe(now time.Time) {
+	s := &l.state
+	n := l.limit
+	if s.up {
+		if s.factor == 0 {
+			s.factor = 1.25
+		}
+		n = l.clamp(max(int(float64(n)*s.factor), n+1))
+	} else {
+		if s.down == 0 {
+			s.down = 0.1
+		}
+		n = l.clamp(min(int(float64(n)*(1-s.down)+0.5), n-1))
+	}
+	if n == l.limit {
+		s.up = !s.up
+		s.next = now.Add(probeEvery)
+		return
+	}
+	s.probing = true
+	l.set(now, n)
+}
+
+func (l *Limiter) revert(now time.Time) {
+	l.state.probing = false
+	l.set(now, l.state.base.limit)
+}
+
+// compare decides on a probe from the lower and the higher of the two windows.
+func (l *Limiter) compare(now time.Time, m measure) {
+	s := &l.state
+	low, high := s.base, m
+	if !s.up {
+		low, high = m, s.base
+	}
+	if low.throughput > high.throughput*tolerance || high.latency*tolerance < low.latency {
+		// Less concurrency cannot make a server both faster and slower: the server itself changed meanwhile.
+		l.revert(now)
+		s.base, s.down, s.factor = measure{}, 0, 0
+		return
+	}
+	working := high.throughput * low.latency
+	s.probing = false
+	switch {
+	case working >= 0.97*high.inFlight:
+		// All of the higher concurrency was worked on.
+		l.accept(now, high.limit, true)
+	case working <= 1.03*low.inFlight:
+		// Even the lower one was not.
+		l.accept(now, low.limit, false)
+	default:
+		// The estimate lies between the two windows.
+		s.down, s.factor, s.up = 0, 0, false
+		s.next = now.Add(probeEvery)
+		s.base = measure{}
+		l.set(now, min(max(int(working*headroom+0.999), low.limit), max(high.limit, low.limit+1)))
+	}
+}
+
+// accept moves to a limit and goes on in the same direction with a longer step, or turns round and pauses.
+func (l *Limiter) accept(now time.Time, n int, up bool) {
+	s := &l.state
+	if up == s.up {
+		s.factor = min(max(s.factor*1.3, 1.25), 2)
+		s.down = min(max(s.down*2, 0.1), 0.5)
+		s.next = now
+	} else {
+		s.factor, s.down = 0, 0
+		s.up = up
+		s.next = now
+		if !up {
+			s.next = now.Add(probeEvery)
+		}
+	}
+	s.base = measure{}
+	l.set(now, n)
+}
--- /dev/null
+++ b/pkg/crrouter/crrouter.go
@@ -0,0 +1,243 @@
+// Package crrouter chooses among the known servers of one service: power of two choices by load, distance, slow start,
+// ejection with probing, and levels per server. It has no clock and no goroutine and is safe for concurrent use.
+package crrouter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// MaxServers bounds the servers that a router knows; Update ignores further ones.
+const MaxServers = 20
+
+// Server is one known server. Slots are its announced slots. Started is when it became available, for its slow start;
+// the zero time means that it is warm. A new Started for a known ID resets what was learned about it.
+type Server struct {
+	ID      string
+	Domain  string
+	Slots   int
+	Started time.Time
+}
+
+// Request is what Pick needs to know. Tried servers are excluded. NoProbe keeps the request from ejected servers that
+// are due for a probe.
+type Request struct {
+	Priority cradmission.Priority
+	Tried    []string
+	NoProbe  bool
+}
+
+// Kind tells how a call to a server ended.
+type Kind uint8
+
+// The ends of a call.
+const (
+	// OK is a complete and correct answer.
+	OK Kind = iota
+	// Refused means that the gate or the backend server did not run the request; the server is not at fault.
+	Refused
+	// Failed is an error answer, or one that is partial or does not match its checksum.
+	Failed
+	// TimedOut means that no answer came in time.
+	TimedOut
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Cancelled means that the caller gave up.
+	Cancelled
+)
+
+// Result is the end of a call. Latency excludes waiting in the gate's queue when the gate reports its service time.
+type Result struct {
+	Kind     Kind
+	Latency  time.Duration
+	Feedback *Feedback // nil when no answer came
+}
+
+// Feedback is the load that an answer carried. Limit zero means unknown. Level zero means that the server admits all.
+type Feedback struct {
+	InFlight int
+	Limit    int
+	Queued   int
+	Level    cradmission.Priority
+}
+
+// Router chooses servers of one service for one caller node. Fields are set before use.
+type Router struct {
+	// Domain is the caller's own failure domain.
+	Domain string
+	// Rand decides between servers; nil means a new random source.
+	Rand *rand.Rand
+
+	mu      sync.Mutex
+	servers []*server
+}
+
+// Update replaces the known servers and keeps what was learned about those that stay.
+func (r *Router) Update(now time.Time, servers []Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := make([]*server, 0, min(len(servers), MaxServers))
+	for _, s := range servers[:min(len(servers), MaxServers)] {
+		if slices.ContainsFunc(next, func(o *server) bool { return o.ID == s.ID }) {
+			continue
+		}
+		old := r.find(s.ID)
+		if old == nil || !old.Started.Equal(s.Started) {
+			old = &server{warmFrom: s.Started}
+		}
+		old.Server = s
+		next = append(next, old)
+	}
+	r.servers = next
+}
+
+// Pick chooses a server and counts the call as in flight; Done must follow. The error is a *crcode.Error: Overloaded
+// when servers remain but none admits the priority, otherwise NoServer.
+func (r *Router) Pick(now time.Time, req Request) (Server, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var local, remote, last [MaxServers]*server
+	var locals, remotes, lasts int
+	refusing := false
+	for _, s := range r.servers {
+		if slices.Contains(req.Tried, s.ID) {
+			continue
+		}
+		if !s.admits(now, req.Priority) {
+			refusing = true
+			continue
+		}
+		switch {
+		case s.ejected && s.probeDue(now) && !req.NoProbe && len(req.Tried) == 0:
+			return s.takeProbe(now), nil
+		case s.ejected:
+			last[lasts] = s
+			lasts++
+		case s.Domain == r.Domain:
+			local[locals] = s
+			locals++
+		default:
+			remote[remotes] = s
+			remotes++
+		}
+	}
+	if s := r.choose(now, local[:locals], remote[:remotes]); s != nil {
+		return s.take(), nil
+	}
+	// An ejected server is better than none when all others were tried or left.
+	if !refusing && lasts > 0 {
+		return r.better(now, last[:lasts]).take(), nil
+	}
+	if refusing {
+		return Server{}, crcode.New(crcode.Overloaded, "no server admits the priority")
+	}
+	return Server{}, crcode.New(crcode.NoServer, "%d servers known, %d tried", len(r.servers), len(req.Tried))
+}
+
+// Done counts the end of a call that Pick started; a server that was removed meanwhile is ignored.
+func (r *Router) Done(now time.Time, id string, res Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.find(id)
+	if s == nil {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	if res.Feedback != nil {
+		s.feedback, s.feedbackAt = *res.Feedback, now
+	}
+	r.judge(now, s, res)
+}
+
+// Level returns the lowest level among the servers in use, for the answers of this node; zero when one admits all.
+func (r *Router) Level(now time.Time) cradmission.Priority {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lowest, found := cradmission.Priority(0), false
+	for _, s := range r.servers {
+		if l := s.level(now); !s.ejected && (!found || l < lowest) {
+			lowest, found = l, true
+		}
+	}
+	return lowest
+}
+
+// View is the state of one server, for dumps.
+type View struct {
+	Server
+	InFlight  int
+	Ejected   bool
+	Latency   time.Duration
+	ErrorRate float64
+	Level     cradmission.Priority
+}
+
+// View returns the state of all known servers.
+func (r *Router) View(now time.Time) []View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]View, 0, len(r.servers))
+	for _, s := range r.servers {
+		out = append(out, View{s.Server, s.inFlight, s.ejected, time.Duration(s.latency * 1e9), s.errors, s.level(now)})
+	}
+	return out
+}
+
+func (r *Router) find(id string) *server {
+	for _, s := range r.servers {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// choose prefers the own failure domain unless its better choice is loaded and a remote one is clearly less so.
+func (r *Router) choose(now time.Time, local, remote []*server) *server {
+	a := r.better(now, local)
+	if a != nil && (a.score(now) < loaded || len(remote) == 0) {
+		return a
+	}
+	b := r.better(now, remote)
+	if a == nil || (b != nil && b.score(now)+distance < a.score(now)) {
+		return b
+	}
+	return a
+}
+
+// better draws two servers and returns the less loaded one. A cold server stands back for a warm one at random.
+func (r *Router) better(now time.Time, from []*server) *server {
+	switch len(from) {
+	case 0:
+		return nil
+	case 1:
+		return from[0]
+	}
+	i := r.intN(len(from))
+	j := r.intN(len(from) - 1)
+	if j >= i {
+		j++
+	}
+	a, b := from[i], from[j]
+	if b.score(now) < a.score(now) {
+		a, b = b, a
+	}
+	if warm := a.warmth(now); warm < 1 && warm < b.warmth(now) && r.float() >= warm {
+		return b
+	}
+	return a
+}
+
+func (r *Router) intN(n int) int {
+	if r.Rand == nil {
+		r.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return r.Rand.IntN(n)
+}
+
+func (r *Router) float() float64 { return float64(r.intN(1<<20)) / (1 << 20) }
