--- /dev/null
+++ b/internal/crconfig/snapshot.go
@@ -0,0 +1,142 @@
+package crconfig
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+const (
+	// MaxSnapshotBytes bounds a snapshot; the largest allowed configuration is larger than any that the bounds on
+	// services and servers of the design page need.
+	MaxSnapshotBytes = 128 << 20
+	// maxObjects bounds the stored entries, deleted ones included.
+	maxObjects = MaxServices*(1+MaxKinds) + MaxDrained + MaxGroups + MaxConvictions + maxTombstones
+)
+
+// Snapshot returns the whole state; equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	m := &crwire.ConfigSnapshot{
+		Version: s.version.Wire(), Applied: s.applied.Wire(), Horizon: s.horizon.Wire(), FenceMs: s.memory.fence,
+		Objects:  make([]*crwire.ConfigObject, 0, len(s.objects)),
+		Commands: make([]*crwire.RememberedCommand, 0, len(s.memory.byID)),
+	}
+	for _, o := range s.objects {
+		m.Objects = append(m.Objects, &crwire.ConfigObject{Entry: o.entry, Changed: o.changed})
+	}
+	slices.SortFunc(m.Objects, compareObjects)
+	for _, r := range s.memory.byID {
+		m.Commands = append(m.Commands, &crwire.RememberedCommand{Id: r.id, Digest: r.digest[:], Answer: r.answer})
+	}
+	slices.SortFunc(m.Commands, func(a, b *crwire.RememberedCommand) int { return strings.Compare(a.Id, b.Id) })
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, crcode.New(crcode.Internal, "the configuration cannot be encoded: %v", err)
+	}
+	if len(data) > MaxSnapshotBytes {
+		return nil, crcode.New(crcode.MessageTooLarge, "the snapshot has %d bytes, over the bound of %d", len(data), MaxSnapshotBytes)
+	}
+	return data, nil
+}
+
+// compareObjects orders by version, then by key.
+func compareObjects(a, b *crwire.ConfigObject) int {
+	va, vb := VersionOf(a.GetEntry().GetVersion()), VersionOf(b.GetEntry().GetVersion())
+	switch {
+	case va.Less(vb):
+		return -1
+	case vb.Less(va):
+		return 1
+	}
+	return strings.Compare(a.GetEntry().GetKey(), b.GetEntry().GetKey())
+}
+
+// Restore replaces the state by a snapshot; on error the state stays as it was.
+func (s *State) Restore(data []byte) error {
+	if len(data) > MaxSnapshotBytes {
+		return crcode.New(crcode.MessageTooLarge, "the snapshot has %d bytes, over the bound of %d", len(data), MaxSnapshotBytes)
+	}
+	m := new(crwire.ConfigSnapshot)
+	if err := proto.Unmarshal(data, m); err != nil {
+		return damaged("it cannot be decoded")
+	}
+	r := NewState()
+	r.version, r.applied, r.horizon = VersionOf(m.Version), VersionOf(m.Applied), VersionOf(m.Horizon)
+	if r.applied.Less(r.version) || r.version.Less(r.horizon) {
+		return damaged("its versions are out of order")
+	}
+	if err := r.restoreObjects(m.Objects); err != nil {
+		return err
+	}
+	if err := r.memory.restore(m); err != nil {
+		return err
+	}
+	*s = *r
+	return nil
+}
+
+func damaged(format string, args ...any) error {
+	return crcode.New(crcode.MalformedMessage, "the snapshot is damaged: "+format, args...)
+}
+
+func (s *State) restoreObjects(objects []*crwire.ConfigObject) error {
+	if len(objects) > maxObjects {
+		return damaged("it has %d objects, over the bound of %d", len(objects), maxObjects)
+	}
+	for i, o := range objects {
+		e := o.GetEntry()
+		v := VersionOf(e.GetVersion())
+		switch {
+		case v == Version{} || s.version.Less(v):
+			return damaged("%q has version %s", e.GetKey(), v)
+		case i > 0 && compareObjects(objects[i-1], o) >= 0:
+			return damaged("%q is out of order", e.GetKey())
+		case s.objects[e.GetKey()] != nil:
+			return damaged("%q stands twice", e.GetKey())
+		}
+		if _, err := decode(e); err != nil {
+			return damaged("%v", err)
+		}
+		changed := o.Changed
+		if changed == nil {
+			changed = new(crwire.ConfigChange)
+		}
+		s.store(&object{entry: e, changed: changed})
+	}
+	return s.checkCounts()
+}
+
+// checkCounts verifies the bounds and that every kind has its service.
+func (s *State) checkCounts() error {
+	if s.services > MaxServices || s.drained > MaxDrained || s.convictions > MaxConvictions || s.tombstones > maxTombstones {
+		return damaged("it has more objects than allowed")
+	}
+	for service, n := range s.kinds {
+		if n > MaxKinds {
+			return damaged("service %s has %d kinds", service, n)
+		}
+		if s.live(ServiceKey(service)) == nil {
+			return damaged("the service %s of a kind is missing", service)
+		}
+	}
+	return nil
+}
+
+func (m *memory) restore(snap *crwire.ConfigSnapshot) error {
+	if len(snap.Commands) > MaxCommandIDs {
+		return damaged("it has %d command ids, over the bound of %d", len(snap.Commands), MaxCommandIDs)
+	}
+	m.fence = snap.FenceMs
+	for _, c := range snap.Commands {
+		if _, err := ParseCommandID(c.GetId()); err != nil || len(c.Digest) != sha256.Size || c.Answer == nil || m.byID[c.Id] != nil {
+			return damaged("the command id %q is malformed or stands twice", c.GetId())
+		}
+		m.add(c.Id, [sha256.Size]byte(c.Digest), c.Answer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/crconfig/view.go
@@ -0,0 +1,281 @@
+package crconfig
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// View is the configuration as one node sees it. Reads take no lock; writers are serialized.
+type View struct {
+	mu      sync.Mutex
+	entries map[string]*crwire.ConfigEntry // guarded by mu
+	state   atomic.Pointer[viewState]
+	refused atomic.Uint64
+}
+
+// viewState is never changed after it was published.
+type viewState struct {
+	version     Version
+	digest      uint64
+	services    map[string]*Service
+	groups      []*crwire.KeeperGroup
+	drained     map[string]bool
+	convictions map[string]*crwire.Conviction
+}
+
+// Service is a service with its kinds.
+type Service struct {
+	config *crwire.ServiceConfig // nil when only kinds are known
+	kinds  map[string]*Kind
+}
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return s.config.GetName() }
+
+// Owner returns the name of the team to ask about the service; it may be empty.
+func (s *Service) Owner() string { return s.config.GetOwner() }
+
+// Kinds returns the kinds of the service in order of name.
+func (s *Service) Kinds() []*Kind {
+	list := make([]*Kind, 0, len(s.kinds))
+	for _, k := range s.kinds {
+		list = append(list, k)
+	}
+	slices.SortFunc(list, func(a, b *Kind) int { return strings.Compare(a.Name(), b.Name()) })
+	return list
+}
+
+// Kind is one request kind of a service.
+type Kind struct{ config *crwire.KindConfig }
+
+// Service returns the name of the kind's service.
+func (k *Kind) Service() string { return k.config.Service }
+
+// Name returns the name of the kind.
+func (k *Kind) Name() string { return k.config.Name }
+
+// Protected reports whether the class is protected; otherwise it is ordinary.
+func (k *Kind) Protected() bool { return k.config.Protected }
+
+// Worth returns the worth of one complete answer.
+func (k *Kind) Worth() uint32 { return k.config.Worth }
+
+// Repeatable reports whether a request of this kind may run more than once.
+func (k *Kind) Repeatable() bool { return k.config.Repeatable }
+
+// Deadline returns the time that a request has when its caller sets none.
+func (k *Kind) Deadline() time.Duration { return time.Duration(k.config.DeadlineMs) * time.Millisecond }
+
+// Retries returns the bound on extra attempts over the whole call graph.
+func (k *Kind) Retries() int { return int(k.config.Retries) }
+
+// NewView returns an empty view at version 0.0.
+func NewView() *View {
+	v := &View{entries: make(map[string]*crwire.ConfigEntry)}
+	v.state.Store(emptyView())
+	return v
+}
+
+func emptyView() *viewState {
+	return &viewState{
+		services:    make(map[string]*Service),
+		groups:      make([]*crwire.KeeperGroup, MaxGroups),
+		drained:     make(map[string]bool),
+		convictions: make(map[string]*crwire.Conviction),
+	}
+}
+
+// ApplyEntries adds a delta that leads to version. An offer below the view's version is refused and counted; at the
+// view's own version it may only add entries, as when a subscription widens. An entry that is older than the held one
+// of the same key is skipped. On error nothing is changed.
+func (v *View) ApplyEntries(version Version, entries []*crwire.ConfigEntry) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.state.Load()
+	if err := v.check(old, version, entries); err != nil {
+		return err
+	}
+	next := &viewState{
+		version: version, digest: old.digest, services: old.services, groups: old.groups,
+		drained: old.drained, convictions: old.convictions,
+	}
+	e := &viewEditor{viewState: next, copied: make(map[string]bool)}
+	for _, entry := range entries {
+		held := v.entries[entry.Key]
+		if held != nil && VersionOf(entry.Version).Less(VersionOf(held.Version)) {
+			continue
+		}
+		if held != nil {
+			next.digest -= EntryDigest(held)
+		}
+		if err := e.set(entry); err != nil {
+			return err
+		}
+		next.digest += EntryDigest(entry)
+		if entry.Deleted {
+			delete(v.entries, entry.Key)
+		} else {
+			v.entries[entry.Key] = entry
+		}
+	}
+	v.state.Store(next)
+	return nil
+}
+
+// Reset replaces the whole view; it is refused and counted below the view's version, or when an entry is older than
+// the held one.
+func (v *View) Reset(version Version, entries []*crwire.ConfigEntry) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.state.Load()
+	if err := v.check(old, version, entries); err != nil {
+		return err
+	}
+	next := emptyView()
+	next.version = version
+	held := make(map[string]*crwire.ConfigEntry, len(entries))
+	e := &viewEditor{viewState: next, copied: map[string]bool{"services": true, "groups": true, "drained": true, "convictions": true}}
+	for _, entry := range entries {
+		if h := v.entries[entry.Key]; h != nil && VersionOf(entry.Version).Less(VersionOf(h.Version)) {
+			v.refused.Add(1)
+			return crcode.New(crcode.VersionConflict, "%s was offered at version %s but is held at %s", entry.Key, VersionOf(entry.Version), VersionOf(h.Version))
+		}
+		if held[entry.Key] != nil {
+			return malformed(entry, "it stands twice in a full view")
+		}
+		if entry.Deleted {
+			continue
+		}
+		if err := e.set(entry); err != nil {
+			return err
+		}
+		held[entry.Key] = entry
+		next.digest += EntryDigest(entry)
+	}
+	v.entries = held
+	v.state.Store(next)
+	return nil
+}
+
+// check refuses an older version and entries that are malformed or newer than the version.
+func (v *View) check(old *viewState, version Version, entries []*crwire.ConfigEntry) error {
+	if version.Less(old.version) {
+		v.refused.Add(1)
+		return crcode.New(crcode.VersionConflict, "version %s was offered but %s is in force", version, old.version)
+	}
+	for _, e := range entries {
+		if _, err := decode(e); err != nil {
+			return err
+		}
+		if ev := VersionOf(e.Version); version.Less(ev) {
+			return malformed(e, "it has version "+ev.String()+", above the offered "+version.String())
+		}
+	}
+	return nil
+}
+
+// viewEditor copies each part of a published state before the first change to it.
+type viewEditor struct {
+	*viewState
+	copied map[string]bool
+}
+
+func (e *viewEditor) once(part string) bool {
+	if e.copied[part] {
+		return false
+	}
+	e.copied[part] = true
+	return true
+}
+
+func (e *viewEditor) set(entry *crwire.ConfigEntry) error {
+	m, err := decode(entry)
+	if err != nil {
+		return err
+	}
+	part, rest, _ := strings.Cut(entry.Key, "/")
+	switch part {
+	case "service":
+		s := e.service(rest)
+		s.config, _ = m.(*crwire.ServiceConfig)
+		e.prune(rest)
+	case "kind":
+		service, name, _ := strings.Cut(rest, "/")
+		s := e.service(service)
+		delete(s.kinds, name)
+		if k, ok := m.(*crwire.KindConfig); ok {
+			s.kinds[name] = &Kind{k}
+		}
+		e.prune(service)
+	case "server":
+		if e.once("drained") {
+			e.drained = cloneMap(e.drained)
+		}
+		delete(e.drained, rest)
+		if s, ok := m.(*crwire.ServerConfig); ok && s.Drained {
+			e.drained[rest] = true
+		}
+	case "group":
+		return e.setGroup(entry, m)
+	case "conviction":
+		if e.once("convictions") {
+			e.convictions = cloneMap(e.convictions)
+		}
+		delete(e.convictions, rest)
+		if c, ok := m.(*crwire.Conviction); ok {
+			e.convictions[rest] = c
+		}
+	}
+	return nil
+}
+
+func (e *viewEditor) setGroup(entry *crwire.ConfigEntry, m proto.Message) error {
+	n, ok := groupNumber(entry.Key)
+	if !ok {
+		return malformed(entry, "its number is not allowed")
+	}
+	if e.once("groups") {
+		e.groups = slices.Clone(e.groups)
+	}
+	e.groups[n], _ = m.(*crwire.KeeperGroup)
+	return nil
+}
+
+// service returns a copy of the service that may be changed.
+func (e *viewEditor) service(name string) *Service {
+	if e.once("services") {
+		e.services = cloneMap(e.services)
+	}
+	s := e.services[name]
+	if s == nil {
+		s = &Service{kinds: make(map[string]*Kind)}
+		e.copied["service/"+name] = true
+	} else if e.once("service/" + name) {
+		s = &Service{config: s.config, kinds: cloneMap(s.kinds)}
+	}
+	e.services[name] = s
+	return s
+}
+
+// prune removes a service that has neither its own entry nor kinds.
+func (e *viewEditor) prune(name string) {
+	if s := e.services[name]; s.config == nil && len(s.kinds) == 0 {
+		delete(e.services, name)
+	}
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	c := make(map[K]V, len(m)+1)
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
--- a/pkg/crcode/table.go
+++ b/pkg/crcode/table.go
@@ -66,6 +66,8 @@
 	Forbidden       Code = 411
 	Exists          Code = 412
 	CommandUnknown  Code = 413
+	LimitReached    Code = 414
+	HasKinds        Code = 415
 )
 
 // Codes of the protocol between processes and of storage.
@@ -144,6 +146,8 @@
 	{Forbidden, "forbidden", NotRun, http.StatusForbidden, "The secret is missing or wrong. Set it in the settings."},
 	{Exists, "exists", NotRun, http.StatusConflict, "The object exists already. Use set to change it."},
 	{CommandUnknown, "command_outcome_unknown", Unknown, http.StatusGatewayTimeout, "The command may have been accepted. Send it again with the same command id."},
+	{LimitReached, "limit_reached", NotRun, http.StatusConflict, "There are as many objects of this sort as allowed. Delete one first."},
+	{HasKinds, "has_kinds", NotRun, http.StatusConflict, "The service has kinds. Delete them first."},
 	{WrongProtocol, "wrong_protocol", NotRun, http.StatusBadRequest, "The other process speaks another version of the protocol. Update the older one."},
 	{BadSecret, "bad_secret", NotRun, http.StatusForbidden, "The secret of the other process differs. Set the same secret in both settings files."},
 	{MessageTooLarge, "message_too_large", NotRun, http.StatusRequestEntityTooLarge, "A message is over the size bound."},
