crrecord, crquarantine, crkeeper: add at-most-once records and the crash quarantine

Cause: requests that may not be repeated need a record before they run, and a request that crashes servers must stop.

--- /dev/null
+++ b/internal/crkeeper/crkeeper.go
@@ -0,0 +1,258 @@
+// Package crkeeper drives the at-most-once records of pkg/crrecord on a node: the keeper's handlers, expiry and group
+// changes, and the client through which a gate claims, completes and releases requests.
+package crkeeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// Names of the methods between nodes.
+const (
+	methodClaim    = "record.claim"
+	methodComplete = "record.complete"
+	methodRelease  = "record.release"
+	methodTake     = "record.take"
+	methodSeal     = "record.seal"
+	methodAnswer   = "record.answer"
+)
+
+const (
+	// expirePeriod is how often old records are dropped.
+	expirePeriod = time.Second
+	// sealPeriod is how long a hand-over waits before it asks the missing members again.
+	sealPeriod = 50 * time.Millisecond
+	// sealTimeout bounds one attempt to fetch a member's records.
+	sealTimeout = 2 * time.Second
+	// sealParallel bounds the groups that change at once, since each holds a copy of its records.
+	sealParallel = 16
+	// handoverPartBytes bounds one part of a hand-over well below the bound of an envelope.
+	handoverPartBytes = 512 << 10
+)
+
+// Groups is the configured group table.
+type Groups interface {
+	// Group returns the newest known membership of a group.
+	Group(number uint32) (crrecord.Group, bool)
+}
+
+// Clock returns the present time.
+type Clock func() crrecord.Instant
+
+// NewClock returns a clock that counts from now.
+func NewClock() Clock {
+	start := time.Now()
+	return func() crrecord.Instant {
+		now := time.Now()
+		return crrecord.Instant{Elapsed: now.Sub(start), UnixMS: now.UnixMilli()}
+	}
+}
+
+// Keeper serves the records of this node. Set the exported fields, call Register before the first session, then Run.
+type Keeper struct {
+	// Core holds the records; its Self names this node. Nobody else may use it while the keeper lives.
+	Core *crrecord.Keeper
+	// Endpoint reaches the previous members of a group.
+	Endpoint *crwire.Endpoint
+	// Now is the clock of handlers and duties.
+	Now Clock
+
+	mu      sync.Mutex
+	pending map[uint32]*crrecord.Reconfiguration
+	wake    chan struct{}
+}
+
+// with runs fn on the records.
+func (k *Keeper) with(fn func(core *crrecord.Keeper)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	fn(k.Core)
+}
+
+// Stats returns what the keeper holds, and the number of groups whose hand-over is not done.
+func (k *Keeper) Stats() (s crrecord.Stats, pending int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Core.Stats(), len(k.pending)
+}
+
+// Confirm tells that the configuration was confirmed at now.
+func (k *Keeper) Confirm(now crrecord.Instant) {
+	k.with(func(core *crrecord.Keeper) { core.Confirm(now) })
+}
+
+// Configure tells the keeper the membership of groups that changed; hand-overs run in the background.
+func (k *Keeper) Configure(groups []crrecord.Group) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, g := range groups {
+		if k.Core.Configure(g) {
+			if old := k.pending[g.Number]; old == nil || old.Group().Epoch < g.Epoch {
+				if k.pending == nil {
+					k.pending = make(map[uint32]*crrecord.Reconfiguration)
+				}
+				k.pending[g.Number] = crrecord.NewReconfiguration(g)
+			}
+			continue
+		}
+		if old := k.pending[g.Number]; old != nil && old.Group().Epoch < g.Epoch {
+			delete(k.pending, g.Number)
+		}
+	}
+	select {
+	case k.wakeLocked() <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) wakeLocked() chan struct{} {
+	if k.wake == nil {
+		k.wake = make(chan struct{}, 1)
+	}
+	return k.wake
+}
+
+// Run expires records and changes groups until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		k.expire(ctx)
+	}()
+	go func() {
+		defer wg.Done()
+		k.change(ctx)
+	}()
+	wg.Wait()
+}
+
+func (k *Keeper) expire(ctx context.Context) {
+	tick := time.NewTicker(expirePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			now := k.Now()
+			k.with(func(core *crrecord.Keeper) { core.Expire(now) })
+		}
+	}
+}
+
+// change hands over groups until none is pending, then waits for the next change.
+func (k *Keeper) change(ctx context.Context) {
+	k.mu.Lock()
+	wake := k.wakeLocked()
+	k.mu.Unlock()
+	tick := time.NewTicker(sealPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-tick.C:
+		}
+		k.changeAll(ctx)
+	}
+}
+
+func (k *Keeper) changeAll(ctx context.Context) {
+	k.mu.Lock()
+	todo := make([]*crrecord.Reconfiguration, 0, len(k.pending))
+	for _, r := range k.pending {
+		todo = append(todo, r)
+	}
+	k.mu.Unlock()
+	places := make(chan struct{}, sealParallel)
+	var wg sync.WaitGroup
+	for _, r := range todo {
+		places <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k.handOver(ctx, r)
+			<-places
+		}()
+	}
+	wg.Wait()
+}
+
+type sealed struct {
+	target crrecord.Target
+	out    crrecord.Handover
+	err    error
+}
+
+// handOver asks every missing target once and installs the records as soon as enough have answered.
+func (k *Keeper) handOver(ctx context.Context, r *crrecord.Reconfiguration) {
+	if k.install(r) {
+		return
+	}
+	targets := r.Targets()
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	results := make(chan sealed, len(targets))
+	for _, t := range targets {
+		go func() {
+			out, err := k.seal(ctx, r.Group().Number, t)
+			results <- sealed{t, out, err}
+		}()
+	}
+	for range targets {
+		s := <-results
+		if s.err != nil {
+			continue
+		}
+		r.Sealed(s.target, s.out)
+		if k.install(r) {
+			// The remaining calls end soon, since their context is cancelled; their results are not needed.
+			cancel()
+		}
+	}
+}
+
+// install ends the hand-over when it is ready.
+func (k *Keeper) install(r *crrecord.Reconfiguration) bool {
+	handovers, ready := r.Ready()
+	if !ready {
+		return false
+	}
+	now := k.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.pending[r.Group().Number] == r {
+		k.Core.Install(now, r.Group(), handovers)
+		delete(k.pending, r.Group().Number)
+	}
+	return true
+}
+
+// seal seals one previous member, this node without the network.
+func (k *Keeper) seal(ctx context.Context, number uint32, t crrecord.Target) (crrecord.Handover, error) {
+	if t.Member.Same(k.Core.Self) {
+		now := k.Now()
+		var (
+			out crrecord.Handover
+			ok  bool
+		)
+		k.with(func(core *crrecord.Keeper) { out, ok = core.Seal(now, number, t.Epoch, t.Next) })
+		if !ok {
+			return out, crcode.New(crcode.MalformedMessage, "group %d epoch %d", number, t.Epoch)
+		}
+		return out, nil
+	}
+	s, err := k.Endpoint.Session(ctx, t.Member.Address)
+	if err != nil {
+		return crrecord.Handover{}, err
+	}
+	req := &crwire.RecordSeal{TargetIncarnation: t.Member.Incarnation, Number: number, GroupEpoch: t.Epoch, Next: t.Next}
+	return fetch(ctx, s, req)
+}
--- /dev/null
+++ b/internal/crkeeper/handlers.go
@@ -0,0 +1,183 @@
+package crkeeper
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// Register adds the keeper's methods.
+func (k *Keeper) Register(m *crwire.Mux) {
+	crwire.Handle(m, methodClaim, k.onClaim)
+	crwire.Handle(m, methodComplete, k.onComplete)
+	crwire.Handle(m, methodRelease, k.onRelease)
+	crwire.Handle(m, methodTake, k.onTake)
+	crwire.HandleStream(m, methodSeal, k.onSeal)
+}
+
+// meant refuses messages to another incarnation, whose records this one does not have.
+func meant(self crrecord.Member, incarnation string) error {
+	if incarnation != self.Incarnation {
+		return crcode.New(crcode.StaleIncarnation, "for %q, this is %q", incarnation, self.Incarnation)
+	}
+	return nil
+}
+
+// idAndDigest decodes what most messages share.
+func idAndDigest(id string, digest []byte) (crrecord.ID, crrecord.Digest, error) {
+	parsed, err := crrecord.ParseID(id)
+	if err != nil {
+		return parsed, crrecord.Digest{}, err
+	}
+	d, err := digestOf(digest)
+	return parsed, d, err
+}
+
+func (k *Keeper) onClaim(_ context.Context, _ *crwire.Session, req *crwire.RecordClaim) (*crwire.RecordReply, error) {
+	if err := meant(k.Core.Self, req.GetTargetIncarnation()); err != nil {
+		return nil, err
+	}
+	id, digest, err := idAndDigest(req.GetId(), req.GetDigest())
+	if err != nil {
+		return nil, err
+	}
+	r := k.claim(crrecord.Claim{ID: id, Digest: digest, Token: crrecord.Token(req.GetToken()), Epoch: req.GetGroupEpoch()})
+	out := &crwire.RecordReply{Status: uint32(r.Status), Holder: uint64(r.Holder), GroupEpoch: r.Epoch}
+	if r.Status == crrecord.Done {
+		out.Answer = wireAnswer(r.Answer)
+	}
+	return out, nil
+}
+
+func (k *Keeper) claim(c crrecord.Claim) (r crrecord.Reply) {
+	now := k.Now()
+	k.with(func(core *crrecord.Keeper) { r = core.Claim(now, c) })
+	return r
+}
+
+func (k *Keeper) onComplete(_ context.Context, _ *crwire.Session, req *crwire.RecordComplete) (*crwire.RecordReply, error) {
+	if err := meant(k.Core.Self, req.GetTargetIncarnation()); err != nil {
+		return nil, err
+	}
+	id, digest, err := idAndDigest(req.GetId(), req.GetDigest())
+	if err != nil {
+		return nil, err
+	}
+	s := k.complete(crrecord.Completion{ID: id, Digest: digest, Token: crrecord.Token(req.GetToken()), Answer: answerOf(req.GetAnswer())})
+	return &crwire.RecordReply{Status: uint32(s)}, nil
+}
+
+func (k *Keeper) complete(c crrecord.Completion) (s crrecord.Status) {
+	now := k.Now()
+	k.with(func(core *crrecord.Keeper) { s = core.Complete(now, c) })
+	return s
+}
+
+func (k *Keeper) onRelease(_ context.Context, _ *crwire.Session, req *crwire.RecordRelease) (*crwire.RecordReply, error) {
+	if err := meant(k.Core.Self, req.GetTargetIncarnation()); err != nil {
+		return nil, err
+	}
+	id, err := crrecord.ParseID(req.GetId())
+	if err != nil {
+		return nil, err
+	}
+	k.with(func(core *crrecord.Keeper) { core.Release(id, crrecord.Token(req.GetToken())) })
+	return &crwire.RecordReply{Status: uint32(crrecord.Released)}, nil
+}
+
+func (k *Keeper) onTake(_ context.Context, _ *crwire.Session, req *crwire.RecordTake) (*crwire.RecordTaken, error) {
+	if err := meant(k.Core.Self, req.GetTargetIncarnation()); err != nil {
+		return nil, err
+	}
+	id, err := crrecord.ParseID(req.GetId())
+	if err != nil {
+		return nil, err
+	}
+	s, held := k.take(crrecord.Take{
+		ID: id, Token: crrecord.Token(req.GetToken()), Epoch: req.GetGroupEpoch(),
+		Slots: int(req.GetSlots()), Want: int(req.GetWant()),
+	})
+	return &crwire.RecordTaken{Status: uint32(s), Held: held}, nil
+}
+
+func (k *Keeper) take(t crrecord.Take) (s crrecord.Status, held uint64) {
+	now := k.Now()
+	k.with(func(core *crrecord.Keeper) { s, held = core.Take(now, t) })
+	return s, held
+}
+
+func (k *Keeper) onSeal(_ context.Context, _ *crwire.Session, req *crwire.RecordSeal, send func(*crwire.RecordHandover) error) error {
+	if err := meant(k.Core.Self, req.GetTargetIncarnation()); err != nil {
+		return err
+	}
+	now := k.Now()
+	var (
+		out crrecord.Handover
+		ok  bool
+	)
+	k.with(func(core *crrecord.Keeper) {
+		out, ok = core.Seal(now, req.GetNumber(), req.GetGroupEpoch(), req.GetNext())
+	})
+	if !ok {
+		return crcode.New(crcode.MalformedMessage, "group %d epoch %d next %d", req.GetNumber(), req.GetGroupEpoch(), req.GetNext())
+	}
+	part := &crwire.RecordHandover{Complete: out.Complete, FenceMs: out.FenceMS}
+	if out.Known != nil {
+		part.Known = WireGroup(*out.Known)
+	}
+	size := 0
+	for i := range out.Records {
+		w := wireRecord(&out.Records[i])
+		part.Records = append(part.Records, w)
+		if size += proto.Size(w); size >= handoverPartBytes {
+			if err := send(part); err != nil {
+				return err
+			}
+			part, size = &crwire.RecordHandover{}, 0
+		}
+	}
+	part.Last = true
+	return send(part)
+}
+
+// errLast ends the reception of a hand-over after its last part.
+var errLast = errors.New("crkeeper: last part")
+
+// fetch receives a whole hand-over; a part of one is an error.
+func fetch(ctx context.Context, s *crwire.Session, req *crwire.RecordSeal) (crrecord.Handover, error) {
+	var out crrecord.Handover
+	first := true
+	err := crwire.Receive(ctx, s, methodSeal, req, func(part *crwire.RecordHandover) error {
+		if first {
+			first = false
+			out.Complete, out.FenceMS = part.GetComplete(), part.GetFenceMs()
+			if part.GetKnown() != nil {
+				g := GroupOf(part.GetKnown())
+				out.Known = &g
+			}
+		}
+		for _, w := range part.GetRecords() {
+			h, err := recordOf(w)
+			if err != nil {
+				return err
+			}
+			out.Records = append(out.Records, h)
+		}
+		if part.GetLast() {
+			return errLast
+		}
+		return nil
+	})
+	if err == errLast {
+		return out, nil
+	}
+	if err == nil {
+		err = crcode.New(crcode.ConnectionLost, "the hand-over ended before its last part")
+	}
+	return crrecord.Handover{}, err
+}
--- /dev/null
+++ b/pkg/crquarantine/crquarantine.go
@@ -0,0 +1,372 @@
+// Package crquarantine finds requests that crash backend servers: every request in flight at a crash becomes a
+// suspect, a suspect runs only alone on a server, and a crash in such an exclusive run convicts it.
+// A Tracker is a pure state machine of one gate; it has no clock or goroutine and is not safe for concurrent use.
+package crquarantine
+
+import (
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// Times and bounds of a quarantine.
+const (
+	// SuspectLifetime is how long a suspect runs only alone after the last crash.
+	SuspectLifetime = 10 * time.Minute
+	// ConvictionLifetime is how long a convicted request is refused.
+	ConvictionLifetime = time.Hour
+	// reserveTime is how long a server that empties for a suspect refuses other work without being asked again.
+	reserveTime = 2 * time.Second
+	// leaseTime is how long an exclusive run reported by another gate counts without a further report.
+	leaseTime = 5 * time.Second
+	// defaultMaxEntries bounds suspects and convictions of one service.
+	defaultMaxEntries = 4096
+)
+
+// Fingerprint identifies a request by its service, kind and body.
+type Fingerprint [16]byte
+
+// FingerprintOf returns the digest of service, kind and body.
+func FingerprintOf(service, kind string, body []byte) Fingerprint {
+	return Fingerprint(crrecord.DigestOf(service, kind, body))
+}
+
+// String returns 32 hex digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint parses 32 hex digits; the error has the code BadValue.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	var f Fingerprint
+	if b, err := hex.DecodeString(s); err != nil || copy(f[:], b) != len(f) || len(b) != len(f) {
+		return Fingerprint{}, crcode.New(crcode.BadValue, "a fingerprint has 32 hex digits")
+	}
+	return f, nil
+}
+
+// Verdict tells how a request may run.
+type Verdict uint8
+
+// The verdicts of Check.
+const (
+	// Free means that the request may run beside others.
+	Free Verdict = iota + 1
+	// Exclusive means that the request may run only alone on a server.
+	Exclusive
+	// Convicted means that the request is refused.
+	Convicted
+)
+
+// Admission tells whether a run may start on this server now.
+type Admission uint8
+
+// The results of Started.
+const (
+	// Admitted means that the run has started and ends with Finished or Crashed.
+	Admitted Admission = iota + 1
+	// Wait means that the server is emptying for, or busy with, an exclusive run: try again later or elsewhere.
+	Wait
+	// Elsewhere means that another server of the service has the exclusive runs.
+	Elsewhere
+	// Refused means that the request is convicted.
+	Refused
+)
+
+// State is what the gates of a service agree on about one fingerprint.
+type State uint8
+
+// The states, weakest first; at equal sequence numbers the stronger one holds.
+const (
+	// Cleared means that a suspect finished an exclusive run, or that an operator lifted its conviction.
+	Cleared State = iota + 1
+	// Suspected means that the request was in flight at a crash.
+	Suspected
+	// Sentenced means that the request crashed a server while it ran alone.
+	Sentenced
+)
+
+// Entry is a state as gates pass it on; the entry with the higher sequence number replaces the other.
+type Entry struct {
+	Fingerprint Fingerprint
+	State       State
+	Seq         uint64
+	Age         time.Duration
+}
+
+// Report is what a gate passes on to the other gates of its service.
+type Report struct {
+	// Server names the gate's server.
+	Server string
+	// Exclusive is set while the server is given to exclusive runs.
+	Exclusive bool
+	Entries   []Entry
+}
+
+type entry struct {
+	state State
+	seq   uint64
+	since time.Time
+}
+
+func (e entry) lifetime() time.Duration {
+	if e.state == Sentenced {
+		return ConvictionLifetime
+	}
+	return SuspectLifetime
+}
+
+// Tracker holds the suspects and convictions that one gate knows of, and what runs on its server.
+type Tracker struct {
+	// Server names the gate's server.
+	Server string
+	// MaxEntries bounds suspects and convictions; zero means 4096. The oldest give way, convictions last.
+	MaxEntries int
+
+	entries   map[Fingerprint]entry
+	inFlight  map[Fingerprint]int
+	running   int
+	exclusive bool
+	reserved  time.Time
+	reserver  Fingerprint
+	leases    map[string]time.Time
+	evicted   uint64
+}
+
+// Check tells how the request may run.
+func (t *Tracker) Check(now time.Time, f Fingerprint) Verdict {
+	e, ok := t.entries[f]
+	switch {
+	case !ok || now.Sub(e.since) >= e.lifetime() || e.state == Cleared:
+		return Free
+	case e.state == Sentenced:
+		return Convicted
+	}
+	return Exclusive
+}
+
+// Started asks to start a run; only Admitted starts it. A suspect that is told to wait makes the server refuse other
+// work for 2 s, so that it empties.
+func (t *Tracker) Started(now time.Time, f Fingerprint) Admission {
+	switch t.Check(now, f) {
+	case Convicted:
+		return Refused
+	case Exclusive:
+		return t.startExclusive(now, f)
+	}
+	if t.exclusive || now.Before(t.reserved) {
+		return Wait
+	}
+	t.start(f)
+	return Admitted
+}
+
+func (t *Tracker) startExclusive(now time.Time, f Fingerprint) Admission {
+	if !t.exclusive && !now.Before(t.reserved) && t.leased(now) {
+		return Elsewhere
+	}
+	if t.exclusive || now.Before(t.reserved) && t.reserver != f {
+		return Wait
+	}
+	if t.running > 0 {
+		t.reserved, t.reserver = now.Add(reserveTime), f
+		return Wait
+	}
+	t.reserved = time.Time{}
+	t.exclusive = true
+	t.start(f)
+	return Admitted
+}
+
+func (t *Tracker) leased(now time.Time) bool { return t.ExclusiveServer(now) != "" }
+
+// ExclusiveServer returns the other server that is given to exclusive runs as far as this gate knows, or "".
+func (t *Tracker) ExclusiveServer(now time.Time) string {
+	first := ""
+	for server, until := range t.leases {
+		if now.Before(until) && (first == "" || server < first) {
+			first = server
+		}
+	}
+	return first
+}
+
+func (t *Tracker) start(f Fingerprint) {
+	if t.inFlight == nil {
+		t.inFlight = make(map[Fingerprint]int)
+	}
+	t.inFlight[f]++
+	t.running++
+}
+
+// Finished ends a run that left the server alive; an exclusive run clears its suspect.
+func (t *Tracker) Finished(now time.Time, f Fingerprint) {
+	if t.inFlight[f] == 0 {
+		return
+	}
+	t.inFlight[f]--
+	if t.inFlight[f] == 0 {
+		delete(t.inFlight, f)
+	}
+	t.running--
+	if t.exclusive {
+		t.exclusive = false
+		t.set(now, f, Cleared)
+	}
+}
+
+// Cancelled ends a run that never reached the server; it clears nobody.
+func (t *Tracker) Cancelled(f Fingerprint) {
+	if t.inFlight[f] == 0 {
+		return
+	}
+	t.inFlight[f]--
+	if t.inFlight[f] == 0 {
+		delete(t.inFlight, f)
+	}
+	t.running--
+	t.exclusive = false
+}
+
+// Crashed tells that the server died. Requests in flight become suspects, or convicts when the run was exclusive;
+// the returned entries are to be passed on at once, convictions also to the replicated log.
+func (t *Tracker) Crashed(now time.Time) []Entry {
+	var out []Entry
+	for f := range t.inFlight {
+		state := Suspected
+		if t.exclusive {
+			state = Sentenced
+		}
+		if t.Check(now, f) != Convicted {
+			t.set(now, f, state)
+		}
+		out = append(out, t.export(now, f))
+	}
+	t.inFlight, t.running, t.exclusive = nil, 0, false
+	t.reserved = time.Time{}
+	sortEntries(out)
+	return out
+}
+
+func sortEntries(s []Entry) {
+	slices.SortFunc(s, func(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+}
+
+func (t *Tracker) export(now time.Time, f Fingerprint) Entry {
+	e := t.entries[f]
+	return Entry{Fingerprint: f, State: e.state, Seq: e.seq, Age: now.Sub(e.since)}
+}
+
+func (t *Tracker) set(now time.Time, f Fingerprint, s State) {
+	t.put(f, entry{state: s, seq: t.entries[f].seq + 1, since: now})
+}
+
+func (t *Tracker) put(f Fingerprint, e entry) {
+	if t.entries == nil {
+		t.entries = make(map[Fingerprint]entry)
+	}
+	limit := t.MaxEntries
+	if limit <= 0 {
+		limit = defaultMaxEntries
+	}
+	if _, ok := t.entries[f]; !ok && len(t.entries) >= limit {
+		t.evict()
+	}
+	t.entries[f] = e
+}
+
+// evict drops the oldest entry of the weakest state.
+func (t *Tracker) evict() {
+	var (
+		oldest Fingerprint
+		found  bool
+	)
+	for f, e := range t.entries {
+		o := t.entries[oldest]
+		if !found || e.state < o.state || e.state == o.state && e.since.Before(o.since) {
+			oldest, found = f, true
+		}
+	}
+	delete(t.entries, oldest)
+	t.evicted++
+}
+
+// Merge takes over what another gate reports.
+func (t *Tracker) Merge(now time.Time, r Report) {
+	if r.Server != "" && r.Server != t.Server {
+		t.lease(now, r)
+	}
+	for _, e := range r.Entries {
+		have, ok := t.entries[e.Fingerprint]
+		if ok && (e.Seq < have.seq || e.Seq == have.seq && e.State <= have.state) {
+			continue
+		}
+		if e.State < Cleared || e.State > Sentenced || e.Age < 0 {
+			continue
+		}
+		next := entry{state: e.State, seq: e.Seq, since: now.Add(-e.Age)}
+		if now.Sub(next.since) < next.lifetime() {
+			t.put(e.Fingerprint, next)
+		}
+	}
+}
+
+func (t *Tracker) lease(now time.Time, r Report) {
+	if !r.Exclusive {
+		delete(t.leases, r.Server)
+		return
+	}
+	if t.leases == nil {
+		t.leases = make(map[string]time.Time)
+	}
+	if _, ok := t.leases[r.Server]; ok || len(t.leases) < defaultMaxEntries {
+		t.leases[r.Server] = now.Add(leaseTime)
+	}
+}
+
+// Report returns everything that this gate knows, in order of fingerprints.
+func (t *Tracker) Report(now time.Time) Report {
+	r := Report{Server: t.Server, Exclusive: t.exclusive || now.Before(t.reserved)}
+	for f, e := range t.entries {
+		if now.Sub(e.since) < e.lifetime() {
+			r.Entries = append(r.Entries, t.export(now, f))
+		}
+	}
+	sortEntries(r.Entries)
+	return r
+}
+
+// Convict takes over a conviction from the configuration.
+func (t *Tracker) Convict(now time.Time, f Fingerprint, age time.Duration) {
+	if t.Check(now, f) != Convicted && age < ConvictionLifetime {
+		t.put(f, entry{state: Sentenced, seq: t.entries[f].seq + 1, since: now.Add(-age)})
+	}
+}
+
+// Lift ends a conviction or suspicion at an operator's word.
+func (t *Tracker) Lift(now time.Time, f Fingerprint) {
+	if _, ok := t.entries[f]; ok {
+		t.set(now, f, Cleared)
+	}
+}
+
+// Expire drops entries past their lifetime and returns how many.
+func (t *Tracker) Expire(now time.Time) int {
+	n := 0
+	for f, e := range t.entries {
+		if now.Sub(e.since) >= e.lifetime() {
+			delete(t.entries, f)
+			n++
+		}
+	}
+	for server, until := range t.leases {
+		if !now.Before(until) {
+			delete(t.leases, server)
+		}
+	}
+	return n
+}
+
+// Evicted returns how many entries gave way to the bound.
+func (t *Tracker) Evicted() uint64 { return t.evicted }
--- /dev/null
+++ b/pkg/crrecord/reconfiguration.go
@@ -0,0 +1,91 @@
+package crrecord
+
+import "slices"
+
+// Target is a keeper to seal: the member, the epoch to seal and the epoch that seals it.
+type Target struct {
+	Member Member
+	Epoch  uint64
+	Next   uint64
+}
+
+// Reconfiguration collects the hand-over that one new member needs before it grants in a new group epoch.
+// It is ready when a majority of the previous members is sealed and one of them holds complete records. When none
+// does, that epoch never granted, and the members of the epoch before it are sealed as well.
+type Reconfiguration struct {
+	cfg       Group
+	level     Group
+	answered  []bool
+	complete  bool
+	ready     bool
+	handovers []Handover
+}
+
+// NewReconfiguration returns the hand-over into cfg's epoch; without previous members, or with a fence, it is ready.
+func NewReconfiguration(cfg Group) *Reconfiguration {
+	r := &Reconfiguration{cfg: cfg}
+	r.enter(cfg)
+	return r
+}
+
+// enter makes the previous members of g the ones to seal.
+func (r *Reconfiguration) enter(g Group) {
+	r.level = g
+	r.complete = false
+	r.answered = make([]bool, len(g.Previous))
+	if len(g.Previous) == 0 || g.FenceMS != 0 {
+		r.handovers = append(r.handovers, Handover{FenceMS: g.FenceMS})
+		r.ready = true
+	}
+}
+
+// Group returns the membership that the hand-over is for.
+func (r *Reconfiguration) Group() Group { return r.cfg }
+
+// Targets returns the keepers that have not answered yet.
+func (r *Reconfiguration) Targets() []Target {
+	if r.ready {
+		return nil
+	}
+	var out []Target
+	for i, m := range r.level.Previous {
+		if !r.answered[i] {
+			out = append(out, Target{Member: m, Epoch: r.level.Epoch - 1, Next: r.cfg.Epoch})
+		}
+	}
+	return out
+}
+
+// Sealed takes the hand-over of one target; a repeated one is ignored.
+func (r *Reconfiguration) Sealed(t Target, h Handover) {
+	i := indexOf(r.level.Previous, t.Member)
+	if r.ready || i < 0 || r.answered[i] || t.Epoch != r.level.Epoch-1 || t.Next != r.cfg.Epoch {
+		return
+	}
+	r.answered[i] = true
+	r.handovers = append(r.handovers, h)
+	r.complete = r.complete || h.Complete
+	n := 0
+	for _, a := range r.answered {
+		if a {
+			n++
+		}
+	}
+	if n < Majority(len(r.answered)) {
+		return
+	}
+	if r.complete {
+		r.ready = true
+		return
+	}
+	// Nobody of the sealed majority ever granted in this epoch, so only earlier epochs can have granted.
+	for _, o := range slices.Backward(r.handovers) {
+		if o.Known != nil && o.Known.Epoch == t.Epoch {
+			r.enter(*o.Known)
+			return
+		}
+	}
+}
+
+// Ready returns the collected hand-overs once a keeper may install them.
+func (r *Reconfiguration) Ready() ([]Handover, bool) { return r.handovers, r.ready }
