--- a/internal/crconfig/state.go
+++ b/internal/crconfig/state.go
@@ -20,7 +20,7 @@
 	objects map[string]*object
 	// history holds the versions of all changes in ascending order; superseded ones are skipped and removed in time.
 	history     []historyItem
-	sums        map[string]uint64 // digest of the live entries by service
+	sums        map[string]Digest // digest of the live entries by service
 	kinds       map[string]int    // live kinds by service
 	services    int
 	drained     int
@@ -33,7 +33,7 @@
 type object struct {
 	entry   *crwire.ConfigEntry
 	changed *crwire.ConfigChange
-	digest  uint64
+	digest  Digest
 }
 
 type historyItem struct {
@@ -45,7 +45,7 @@
 func NewState() *State {
 	return &State{
 		objects: make(map[string]*object),
-		sums:    make(map[string]uint64),
+		sums:    make(map[string]Digest),
 		kinds:   make(map[string]int),
 		memory:  newMemory(),
 	}
@@ -109,12 +109,12 @@
 	key := o.entry.Key
 	if old := s.objects[key]; old != nil {
 		s.count(old, -1)
-		s.sums[old.entry.Service] -= old.digest
+		s.sums[old.entry.Service] = s.sums[old.entry.Service].Sub(old.digest)
 	}
 	o.digest = EntryDigest(o.entry)
 	s.objects[key] = o
 	s.count(o, 1)
-	s.sums[o.entry.Service] += o.digest
+	s.sums[o.entry.Service] = s.sums[o.entry.Service].Add(o.digest)
 	s.history = append(s.history, historyItem{VersionOf(o.entry.Version), key})
 }
 
@@ -216,12 +216,12 @@
 }
 
 // Digest returns the digest of the live entries for the given services and for every node; nil services means all.
-func (s *State) Digest(services []string) uint64 {
-	var sum uint64
+func (s *State) Digest(services []string) Digest {
+	var sum Digest
 	wanted := filter(services)
 	for name, d := range s.sums {
 		if wanted(name) {
-			sum += d
+			sum = sum.Add(d)
 		}
 	}
 	return sum
--- a/internal/crconfig/view.go
+++ b/internal/crconfig/view.go
@@ -24,7 +24,7 @@
 // viewState is never changed after it was published.
 type viewState struct {
 	version     Version
-	digest      uint64
+	digest      Digest
 	services    map[string]*Service
 	groups      []*crwire.KeeperGroup
 	drained     map[string]bool
@@ -114,12 +114,12 @@
 			continue
 		}
 		if held != nil {
-			next.digest -= EntryDigest(held)
+			next.digest = next.digest.Sub(EntryDigest(held))
 		}
 		if err := e.set(entry); err != nil {
 			return err
 		}
-		next.digest += EntryDigest(entry)
+		next.digest = next.digest.Add(EntryDigest(entry))
 		if entry.Deleted {
 			delete(v.entries, entry.Key)
 		} else {
@@ -158,7 +158,7 @@
 			return err
 		}
 		held[entry.Key] = entry
-		next.digest += EntryDigest(entry)
+		next.digest = next.digest.Add(EntryDigest(entry))
 	}
 	v.entries = held
 	v.state.Store(next)
--- a/internal/crconfig/viewread.go
+++ b/internal/crconfig/viewread.go
@@ -11,7 +11,7 @@
 func (v *View) Version() Version { return v.state.Load().version }
 
 // Digest returns the digest of the held entries; it equals that of the State for the same services and version.
-func (v *View) Digest() uint64 { return v.state.Load().digest }
+func (v *View) Digest() Digest { return v.state.Load().digest }
 
 // Refused returns how many offers were below what the view holds.
 func (v *View) Refused() uint64 { return v.refused.Load() }
