pkg: test limiter and router, add entrance places

Cause: crlimiter and crrouter had no tests; ordinary requests may hold at most 80% of entrance concurrency too. Change: tests with a model server for crlimiter and with drawn steps for crrouter; a probe that does not end no longer blocks the next one, and calls from before an ejection do not count as probes; cradmission.Places; Limiter.QueueDelay.

--- a/pkg/cradmission/queue.go
+++ b/pkg/cradmission/queue.go
@@ -123,20 +123,13 @@
 // full reports whether an item of class c needs another's place. Ordinary items stand first, so the lowest of the
 // queue is always the one to displace.
 func (q *Queue) full(c Class) bool {
-	length, share := q.Length, q.OrdinaryShare
-	if length == 0 {
-		length = 256
-	}
-	if share == 0 {
-		share = 0.8
-	}
+	length, limit := bounds(q.Length, 256, q.OrdinaryShare)
 	if len(q.items) >= length {
 		return true
 	}
 	if c == Protected {
 		return false
 	}
-	limit := max(int(share*float64(length)), 1)
 	return len(q.items) >= limit && q.items[limit-1].Priority.Class() == Ordinary
 }
 
--- a/pkg/cradmission/queue_test.go
+++ b/pkg/cradmission/queue_test.go
@@ -63,80 +63,121 @@
 	})
 }
 
+// queueModel drives a queue of 10 places and 100 ms with drawn steps and knows which items are in it.
+type queueModel struct {
+	*rapid.T
+	queue cradmission.Queue
+	now   time.Time
+	in    map[*cradmission.Item]bool
+}
+
+func (m *queueModel) late(it *cradmission.Item) bool {
+	return it.Wait(m.now) >= 100*time.Millisecond || (!it.Deadline.IsZero() && !m.now.Before(it.Deadline))
+}
+
+func (m *queueModel) leave(it *cradmission.Item) {
+	if !m.in[it] {
+		m.Fatal("item left twice")
+	}
+	delete(m.in, it)
+}
+
+func (m *queueModel) push(*rapid.T) {
+	class := cradmission.Class(rapid.IntRange(0, 1).Draw(m.T, "class"))
+	it := &cradmission.Item{Priority: cradmission.NewPriority(class, uint32(rapid.IntRange(0, 3).Draw(m.T, "worth")), "x")}
+	if rapid.Bool().Draw(m.T, "deadline") {
+		it.Deadline = m.now.Add(30 * time.Millisecond)
+	}
+	m.in[it] = true
+	refused := m.queue.Push(m.now, it)
+	if refused == nil {
+		return
+	}
+	for o := range m.in {
+		if o.Priority < refused.Priority {
+			m.Fatalf("refused %x, kept %x", refused.Priority, o.Priority)
+		}
+	}
+	m.leave(refused)
+}
+
+func (m *queueModel) pop(*rapid.T) {
+	it, ok := m.queue.Pop(m.now)
+	if !ok {
+		return
+	}
+	if m.late(it) {
+		m.Fatal("late item popped")
+	}
+	m.leave(it)
+	for o := range m.in {
+		if o.Priority > it.Priority && !m.late(o) {
+			m.Fatal("popped before a higher item")
+		}
+	}
+}
+
+func (m *queueModel) expire(*rapid.T) {
+	for _, it := range m.queue.Expire(m.now) {
+		m.leave(it)
+	}
+	for it := range m.in {
+		if m.late(it) {
+			m.Fatal("late item kept")
+		}
+	}
+}
+
+func (m *queueModel) remove(*rapid.T) {
+	for it := range m.in {
+		if !m.queue.Remove(it) {
+			m.Fatal("waiting item not found")
+		}
+		m.leave(it)
+		return
+	}
+}
+
+func (m *queueModel) check(*rapid.T) {
+	ordinary := 0
+	for it := range m.in {
+		if it.Priority.Class() == cradmission.Ordinary {
+			ordinary++
+		}
+	}
+	// Items that Push and Pop found late stay in the model until the next Expire.
+	if late := len(m.in) - m.queue.Len(); m.queue.Len() > 10 || late < 0 || ordinary-late > 8 {
+		m.Fatalf("%d items, %d ordinary, %d late", m.queue.Len(), ordinary, late)
+	}
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 9).Draw(m.T, "ms")) * time.Millisecond)
+}
+
 // Guards against a queue that exceeds its places or the ordinary share, loses or doubles an item, runs a late one,
 // keeps a lower one in place of a higher one, or pops out of order.
 func TestQueueModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := cradmission.Queue{Length: 10, MaxWait: 100 * time.Millisecond}
-		now, in := t0, map[*cradmission.Item]bool{}
-		leave := func(it *cradmission.Item) {
-			if !in[it] {
-				t.Fatalf("item left twice")
-			}
-			delete(in, it)
-		}
-		lowest := func() (low cradmission.Priority) {
-			low = ^low
-			for it := range in {
-				low = min(low, it.Priority)
-			}
-			return low
-		}
-		for range rapid.IntRange(1, 100).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(t, "op") {
-			default:
-				class := cradmission.Class(rapid.IntRange(0, 1).Draw(t, "class"))
-				it := &cradmission.Item{Priority: cradmission.NewPriority(class, uint32(rapid.IntRange(0, 3).Draw(t, "worth")), "x")}
-				if rapid.Bool().Draw(t, "deadline") {
-					it.Deadline = now.Add(30 * time.Millisecond)
-				}
-				in[it] = true
-				if refused := q.Push(now, it); refused != nil {
-					if refused.Priority != lowest() {
-						t.Fatalf("refused %x, lowest %x", refused.Priority, lowest())
-					}
-					leave(refused)
-				}
-			case 0:
-				if it, ok := q.Pop(now); ok {
-					for o := range in {
-						if o.Priority > it.Priority && o.Wait(now) < 100*time.Millisecond && (o.Deadline.IsZero() || now.Before(o.Deadline)) {
-							t.Fatal("popped before a higher item")
-						}
-					}
-					if it.Wait(now) >= 100*time.Millisecond || (!it.Deadline.IsZero() && !now.Before(it.Deadline)) {
-						t.Fatal("late item popped")
-					}
-					leave(it)
-				}
-			case 1:
-				for _, it := range q.Expire(now) {
-					leave(it)
-				}
-			case 2:
-				for it := range in {
-					if !q.Remove(it) {
-						t.Fatal("waiting item not found")
-					}
-					leave(it)
-					break
-				}
-			}
-			ordinary := 0
-			for it := range in {
-				if it.Priority.Class() == cradmission.Ordinary {
-					ordinary++
-				}
-			}
-			late := len(in) - q.Len()
-			if q.Len() > 10 || ordinary-late > 8 {
-				t.Fatalf("%d items, %d ordinary", q.Len(), ordinary)
-			}
-		}
+		m := &queueModel{T: t, queue: cradmission.Queue{Length: 10, MaxWait: 100 * time.Millisecond}, now: t0, in: map[*cradmission.Item]bool{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": m.push, "push again": m.push, "push more": m.push, "pop": m.pop, "expire": m.expire, "remove": m.remove, "": m.check,
+		})
 	})
 }
 
+// Guards against ordinary requests that take the places kept for protected ones.
+func TestPlacesReserved(t *testing.T) {
+	c := qt.New(t)
+	p := cradmission.Places{Size: 10}
+	for i := range 12 {
+		c.Assert(p.Take(cradmission.Ordinary), qt.Equals, i < 8)
+	}
+	for i := range 4 {
+		c.Assert(p.Take(cradmission.Protected), qt.Equals, i < 2)
+	}
+	p.Give(cradmission.Ordinary)
+	c.Assert(p.Take(cradmission.Protected), qt.IsTrue)
+	c.Assert(p.Take(cradmission.Ordinary), qt.IsFalse)
+}
+
 // Guards against levels that outlive their expiry, an older level that replaces a fresher one, and long answers.
 func TestLevelTable(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -47,6 +47,7 @@
 	inFlight int
 	window   window
 	service  time.Duration // moving average of successful latencies
+	queued   time.Duration // moving average of the time in the gate's queue
 	state    search
 	refusals time.Time // last cut because of a refusal
 	good     int       // limit before a hang, restored by the first success
@@ -81,6 +82,7 @@
 	defer l.mu.Unlock()
 	l.advance(now)
 	l.inFlight = max(l.inFlight-1, 0)
+	l.queued += (s.Queued - l.queued) / 16
 	w := &l.window
 	switch s.Result {
 	case Success:
@@ -130,6 +132,13 @@
 	return l.service
 }
 
+// QueueDelay returns the typical time that a run waited in the gate's queue.
+func (l *Limiter) QueueDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queued
+}
+
 // Expected returns the time that a request behind ahead queued ones is expected to need, its own run included.
 func (l *Limiter) Expected(ahead int) time.Duration {
 	l.mu.Lock()
--- /dev/null
+++ b/pkg/crlimiter/crlimiter_test.go
@@ -0,0 +1,205 @@
+package crlimiter_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/pkg/crlimiter"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// Example embeds the limiter around a call.
+func Example() {
+	limiter := crlimiter.Limiter{Slots: 2, Min: 1, Max: 8}
+	now := t0
+	for i := range 3 {
+		fmt.Println("request", i, "admitted", limiter.Acquire(now))
+	}
+	now = now.Add(20 * time.Millisecond)
+	limiter.Release(now, crlimiter.Sample{Latency: 20 * time.Millisecond, Result: crlimiter.Success})
+	fmt.Println("in flight", limiter.InFlight(), "of", limiter.Limit())
+	fmt.Println("expected behind one other:", limiter.Expected(1))
+	// Output:
+	// request 0 admitted true
+	// request 1 admitted true
+	// request 2 admitted false
+	// in flight 1 of 2
+	// expected behind one other: 30ms
+}
+
+type run struct{ start, end time.Time }
+
+type runs []run
+
+func (r runs) Len() int           { return len(r) }
+func (r runs) Less(i, j int) bool { return r[i].end.Before(r[j].end) }
+func (r runs) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+func (r *runs) Push(x any)        { *r = append(*r, x.(run)) }
+func (r *runs) Pop() any {
+	old := *r
+	x := old[len(old)-1]
+	*r = old[:len(old)-1]
+	return x
+}
+
+// server is a model of a backend server that works on slots requests at once and queues the others inside, under a
+// load that always fills the limiter.
+type server struct {
+	limiter crlimiter.Limiter
+	slots   int
+	service time.Duration
+	jitter  bool // exponential instead of constant service times
+	result  crlimiter.Result
+	rnd     *rand.Rand
+	now     time.Time
+	working runs
+	waiting []time.Time
+	done    int
+	lowest  int
+}
+
+func newServer(announced, slots int) *server {
+	return &server{
+		limiter: crlimiter.Limiter{Slots: announced, Min: 2}, slots: slots, service: 20 * time.Millisecond,
+		rnd: rand.New(rand.NewPCG(1, 2)), now: t0,
+	}
+}
+
+// run advances the model by d and returns the throughput per second.
+func (s *server) run(d time.Duration) float64 {
+	end := s.now.Add(d)
+	s.done, s.lowest = 0, 1<<30
+	for {
+		for s.limiter.Acquire(s.now) {
+			s.waiting = append(s.waiting, s.now)
+		}
+		for len(s.waiting) > 0 && len(s.working) < s.slots {
+			took := s.service
+			if s.jitter {
+				took = time.Duration(s.rnd.ExpFloat64() * float64(took))
+			}
+			heap.Push(&s.working, run{s.waiting[0], s.now.Add(took + time.Duration(s.rnd.IntN(1000))*time.Microsecond)})
+			s.waiting = s.waiting[1:]
+		}
+		if s.working[0].end.After(end) {
+			s.now = end
+			return float64(s.done) / d.Seconds()
+		}
+		r := heap.Pop(&s.working).(run)
+		s.now = r.end
+		s.limiter.Release(s.now, crlimiter.Sample{Latency: s.now.Sub(r.start), Result: s.result})
+		s.done++
+		s.lowest = min(s.lowest, s.limiter.Limit())
+	}
+}
+
+// Guards against a limit that follows slower work down: a tenth of the speed needs the same concurrency.
+func TestSlowerWorkKeepsConcurrency(t *testing.T) {
+	for _, jitter := range []bool{false, true} {
+		c := qt.New(t)
+		s := newServer(50, 50)
+		s.jitter = jitter
+		full := s.run(10 * time.Second)
+		s.service *= 10
+		slow := s.run(20 * time.Second)
+		c.Logf("jitter %v: %.0f/s, slow %.0f/s, limit %d, lowest %d", jitter, full, slow, s.limiter.Limit(), s.lowest)
+		c.Check(full >= 0.9*50/0.0205, qt.IsTrue)
+		c.Check(slow >= 0.9*50/0.2005, qt.IsTrue)
+		s.service /= 10
+		s.run(time.Second)
+		after := s.run(time.Second)
+		c.Logf("after %.0f/s", after)
+		c.Check(after >= 0.95*0.9*50/0.0205, qt.IsTrue)
+	}
+}
+
+// Guards against queueing inside a server that announced too many slots.
+func TestTooManySlotsFall(t *testing.T) {
+	for _, announced := range []int{75, 200, 500} {
+		c := qt.New(t)
+		s := newServer(announced, 50)
+		s.run(30 * time.Second)
+		rate := s.run(10 * time.Second)
+		c.Logf("announced %d: limit %d, %.0f/s, service %v", announced, s.limiter.Limit(), rate, s.limiter.ServiceTime())
+		c.Check(s.limiter.Limit() <= 60, qt.IsTrue)
+		c.Check(rate >= 0.95*50/0.0205, qt.IsTrue)
+	}
+}
+
+// Guards against capacity that stays unused when a server announced too few slots.
+func TestTooFewSlotsRise(t *testing.T) {
+	for _, announced := range []int{15, 40} {
+		c := qt.New(t)
+		s := newServer(announced, 50)
+		s.run(10 * time.Second)
+		rate := s.run(10 * time.Second)
+		c.Logf("announced %d: limit %d, %.0f/s", announced, s.limiter.Limit(), rate)
+		c.Check(rate >= 0.95*50/0.0205, qt.IsTrue)
+		c.Check(s.limiter.Limit() <= 60, qt.IsTrue)
+	}
+}
+
+// Guards against a limit that sticks low after a cold start, errors or a hang.
+func TestRecoversWithinOneSecond(t *testing.T) {
+	for name, fault := range map[string]func(s *server){
+		"cold":  func(s *server) { s.service *= 20 },
+		"error": func(s *server) { s.result, s.service = crlimiter.Failure, time.Millisecond },
+		"hang":  func(s *server) { s.result, s.service = crlimiter.Timeout, time.Second },
+	} {
+		c := qt.New(t)
+		s := newServer(50, 50)
+		if name != "cold" {
+			s.run(5 * time.Second)
+		}
+		fault(s)
+		s.run(10 * time.Second)
+		s.service, s.result = 20*time.Millisecond, crlimiter.Success
+		s.run(time.Second)
+		rate := s.run(time.Second)
+		c.Logf("%s: lowest %d, limit %d, %.0f/s", name, s.lowest, s.limiter.Limit(), rate)
+		c.Check(rate >= 0.9*50/0.0205, qt.IsTrue)
+	}
+}
+
+// Guards against a limit that stays high while the server itself reports overload, or leaves its bounds.
+func TestRefusalsLowerWithinBounds(t *testing.T) {
+	c := qt.New(t)
+	s := newServer(50, 50)
+	s.result = crlimiter.Refused
+	s.run(10 * time.Second)
+	c.Assert(s.limiter.Limit(), qt.Equals, 2)
+	c.Assert(s.limiter.InFlight() >= s.limiter.Limit(), qt.IsTrue)
+}
+
+// Guards against a limit that moves although the load never reaches it.
+func TestLightLoadKeepsLimit(t *testing.T) {
+	c := qt.New(t)
+	l, now := crlimiter.Limiter{Slots: 50}, t0
+	for i := range 20_000 {
+		now = now.Add(time.Millisecond)
+		c.Assert(l.Acquire(now), qt.IsTrue)
+		if i >= 20 {
+			l.Release(now, crlimiter.Sample{Latency: 20 * time.Millisecond, Queued: time.Millisecond})
+		}
+	}
+	c.Assert(l.Limit(), qt.Equals, 50)
+	c.Assert(l.ServiceTime(), qt.Equals, 20*time.Millisecond)
+	c.Assert(l.QueueDelay() > 900*time.Microsecond, qt.IsTrue)
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	b.ReportAllocs()
+	l := crlimiter.Limiter{Slots: 50}
+	now := t0
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		l.Acquire(now)
+		l.Release(now, crlimiter.Sample{Latency: 20 * time.Millisecond})
+	}
+}
--- /dev/null
+++ b/pkg/crrouter/crrouter_test.go
@@ -0,0 +1,248 @@
+package crrouter_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// Example embeds the router in a caller that tries a second server after a refusal.
+func Example() {
+	router := crrouter.Router{Domain: "north"}
+	now := t0
+	router.Update(now, []crrouter.Server{
+		{ID: "ledger1", Domain: "north", Slots: 70},
+		{ID: "ledger2", Domain: "south", Slots: 70},
+	})
+	request := crrouter.Request{Priority: cradmission.NewPriority(cradmission.Protected, 10, "n1-5f3a.1.a")}
+	for _, kind := range []crrouter.Kind{crrouter.Refused, crrouter.OK} {
+		server, err := router.Pick(now, request)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println("call", server.ID)
+		now = now.Add(5 * time.Millisecond)
+		router.Done(now, server.ID, crrouter.Result{
+			Kind: kind, Latency: 5 * time.Millisecond, Feedback: &crrouter.Feedback{InFlight: 3, Limit: 70},
+		})
+		request.Tried = append(request.Tried, server.ID)
+	}
+	_, err := router.Pick(now, request)
+	fmt.Println(err)
+	// Output:
+	// call ledger1
+	// call ledger2
+	// 213 no_server: 2 servers known, 2 tried
+}
+
+// newRouter returns a router with n warm servers s0, s1, ... of 50 slots in its own failure domain.
+func newRouter(n int) *crrouter.Router {
+	r := &crrouter.Router{Domain: "a", Rand: rand.New(rand.NewPCG(1, 2))}
+	r.Update(t0, servers(n))
+	return r
+}
+
+func servers(n int) (out []crrouter.Server) {
+	for i := range n {
+		out = append(out, crrouter.Server{ID: fmt.Sprintf("s%d", i), Domain: "a", Slots: 50})
+	}
+	return out
+}
+
+var ordinary = crrouter.Request{Priority: cradmission.NewPriority(cradmission.Ordinary, 1, "c")}
+
+// load sends n requests 1 ms apart that end at once with what answer returns, and counts the servers.
+func load(c *qt.C, r *crrouter.Router, now *time.Time, n int, answer func(s crrouter.Server) crrouter.Result) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		s, err := r.Pick(*now, ordinary)
+		c.Assert(err, qt.IsNil)
+		counts[s.ID]++
+		*now = now.Add(time.Millisecond)
+		r.Done(*now, s.ID, answer(s))
+	}
+	return counts
+}
+
+func ok(crrouter.Server) crrouter.Result {
+	return crrouter.Result{Latency: 20 * time.Millisecond, Feedback: &crrouter.Feedback{InFlight: 5, Limit: 50}}
+}
+
+// Guards against uneven load, and against a server that keeps its share although it reports load or has calls open.
+func TestPickFollowsLoad(t *testing.T) {
+	c := qt.New(t)
+	now := t0
+	counts := load(c, newRouter(4), &now, 4000, ok)
+	for _, n := range counts {
+		c.Assert(n > 700 && n < 1300, qt.IsTrue, qt.Commentf("%v", counts))
+	}
+	counts = load(c, newRouter(4), &now, 4000, func(s crrouter.Server) crrouter.Result {
+		res := ok(s)
+		if s.ID == "s1" {
+			res.Feedback = &crrouter.Feedback{InFlight: 25, Limit: 25, Queued: 10}
+		}
+		return res
+	})
+	c.Assert(counts["s1"] < 200, qt.IsTrue, qt.Commentf("%v", counts))
+	r := newRouter(4)
+	for range 40 {
+		_, err := r.Pick(now, ordinary)
+		c.Assert(err, qt.IsNil)
+	}
+	for _, v := range r.View(now) {
+		c.Assert(v.InFlight >= 7 && v.InFlight <= 13, qt.IsTrue, qt.Commentf("%s: %d", v.ID, v.InFlight))
+	}
+}
+
+// Guards against calls to other failure domains without need, and against staying in a loaded one.
+func TestOwnDomainUnlessLoaded(t *testing.T) {
+	c := qt.New(t)
+	r, now := newRouter(0), t0
+	r.Update(now, []crrouter.Server{{ID: "near", Domain: "a", Slots: 50}, {ID: "far", Domain: "b", Slots: 50}})
+	c.Assert(load(c, r, &now, 100, ok)["near"], qt.Equals, 100)
+	counts := load(c, r, &now, 100, func(s crrouter.Server) crrouter.Result {
+		res := ok(s)
+		if s.ID == "near" {
+			res.Feedback = &crrouter.Feedback{InFlight: 50, Limit: 50}
+		}
+		return res
+	})
+	c.Assert(counts["far"] >= 95, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// Guards against a cold server that gets its full share at once, or never.
+func TestSlowStart(t *testing.T) {
+	c := qt.New(t)
+	r, now := newRouter(3), t0
+	r.Update(now, append(servers(3), crrouter.Server{ID: "cold", Domain: "a", Slots: 50, Started: now}))
+	first := load(c, r, &now, 1000, ok)["cold"]
+	now = t0.Add(crrouter.SlowStart)
+	later := load(c, r, &now, 1000, ok)["cold"]
+	c.Assert(first > 10 && first < 125 && later > 180, qt.IsTrue, qt.Commentf("first %d, later %d of 1000", first, later))
+}
+
+// Guards against a bad server that keeps its traffic, and against one that is not back 2 s after it recovered.
+func TestEjectionAndReturn(t *testing.T) {
+	alternate := 0
+	for name, bad := range map[string]func() crrouter.Result{
+		"failures":    func() crrouter.Result { return crrouter.Result{Kind: crrouter.Failed, Latency: time.Millisecond} },
+		"timeouts":    func() crrouter.Result { return crrouter.Result{Kind: crrouter.TimedOut, Latency: time.Second} },
+		"unreachable": func() crrouter.Result { return crrouter.Result{Kind: crrouter.Unreachable} },
+		"slow":        func() crrouter.Result { return crrouter.Result{Latency: 200 * time.Millisecond} },
+		"fast and often wrong": func() crrouter.Result {
+			alternate++
+			if alternate%4 == 0 {
+				return crrouter.Result{Latency: time.Millisecond}
+			}
+			return crrouter.Result{Kind: crrouter.Failed, Latency: time.Millisecond}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r, now := newRouter(4), t0
+			load(c, r, &now, 400, ok)
+			answer := func(s crrouter.Server) crrouter.Result {
+				if s.ID == "s2" {
+					return bad()
+				}
+				return ok(s)
+			}
+			load(c, r, &now, 400, answer)
+			counts := load(c, r, &now, 10_000, answer)
+			c.Check(counts["s2"] <= 50, qt.IsTrue, qt.Commentf("%v while bad for 10 s", counts))
+			load(c, r, &now, 2000, ok)
+			counts = load(c, r, &now, 1000, ok)
+			c.Check(counts["s2"] >= 150, qt.IsTrue, qt.Commentf("%v after 2 s", counts))
+		})
+	}
+}
+
+// Guards against more than half of a service out of use, state that grows, and picks of tried servers.
+func TestEjectionShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 25).Draw(t, "servers")
+		r, now := newRouter(n), t0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			req := ordinary
+			if rapid.Bool().Draw(t, "resend") {
+				req.Tried = []string{"s0", "s1"}
+			}
+			s, err := r.Pick(now, req)
+			if err != nil {
+				if n > 2 || crcode.Of(err) != crcode.NoServer {
+					t.Fatalf("%v with %d servers", err, n)
+				}
+				continue
+			}
+			if req.Tried != nil && (s.ID == "s0" || s.ID == "s1") {
+				t.Fatalf("%s was tried", s.ID)
+			}
+			kind := crrouter.Kind(rapid.IntRange(2, 4).Draw(t, "kind"))
+			r.Done(now, s.ID, crrouter.Result{Kind: kind})
+			view, ejected := r.View(now), 0
+			for _, v := range view {
+				if v.Ejected {
+					ejected++
+				}
+			}
+			if 2*ejected > len(view) || len(view) > crrouter.MaxServers {
+				t.Fatalf("%d of %d ejected", ejected, len(view))
+			}
+		}
+	})
+}
+
+// Guards against a refusal while a server admits the priority, a refusal counted as a failure, and a level that
+// outlives its expiry.
+func TestLevelsPerServer(t *testing.T) {
+	c := qt.New(t)
+	r, now := newRouter(2), t0
+	low := ordinary.Priority
+	refuse := func(id string) {
+		r.Done(now, id, crrouter.Result{Kind: crrouter.Refused, Feedback: &crrouter.Feedback{Limit: 50, Level: low + 1}})
+	}
+	for range 20 {
+		refuse("s0")
+	}
+	c.Assert(load(c, r, &now, 100, ok)["s1"], qt.Equals, 100)
+	c.Assert(r.Level(now), qt.Equals, cradmission.Priority(0))
+	refuse("s0")
+	refuse("s1")
+	_, err := r.Pick(now, ordinary)
+	c.Assert(errors.Is(err, crcode.New(crcode.Overloaded, "")), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(r.Level(now), qt.Equals, low+1)
+	_, err = r.Pick(now, crrouter.Request{Priority: low + 1})
+	c.Assert(err, qt.IsNil)
+	for _, v := range r.View(now) {
+		c.Assert(v.Ejected, qt.IsFalse)
+	}
+	_, err = r.Pick(now.Add(time.Second), ordinary)
+	c.Assert(err, qt.IsNil)
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	b.ReportAllocs()
+	r, now := newRouter(20), t0
+	res := ok(crrouter.Server{})
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		s, err := r.Pick(now, ordinary)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Done(now, s.ID, res)
+	}
+}
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -62,6 +62,7 @@
 	probeOK   int
 
 	probeStart time.Time
+	older      int // calls in flight that began before the ejection
 }
 
 func (s *server) take() Server {
@@ -74,7 +75,11 @@
 	return s.take()
 }
 
-func (s *server) probeDue(now time.Time) bool { return !s.probing && !now.Before(s.until) }
+// probeDue reports whether the ejection is over and no probe is in flight. A probe that does not end in time no longer
+// holds back the next one.
+func (s *server) probeDue(now time.Time) bool {
+	return !now.Before(s.until) && (!s.probing || now.Sub(s.probeStart) >= ejectMax)
+}
 
 func (s *server) level(now time.Time) cradmission.Priority {
 	if now.Sub(s.feedbackAt) >= feedbackExpiry {
@@ -113,8 +118,12 @@
 
 // judge updates a server's record by the end of one call and ejects or returns it.
 func (r *Router) judge(now time.Time, s *server, res Result) {
+	probe := s.ejected && s.probing
 	// A call from before the ejection ends with a latency that the probe cannot have yet.
-	probe := s.ejected && s.probing && res.Latency <= now.Sub(s.probeStart)
+	if probe && s.older > 0 && res.Latency > now.Sub(s.probeStart) {
+		s.older--
+		probe = false
+	}
 	switch res.Kind {
 	case Refused, Cancelled:
 		if probe {
@@ -212,7 +221,7 @@
 	if !s.returned.IsZero() && now.Sub(s.returned) > forget {
 		s.ejections = 0
 	}
-	s.ejected, s.probing, s.probeOK = true, false, 0
+	s.ejected, s.probing, s.probeOK, s.older = true, false, 0, s.inFlight
 	s.ban(now)
 }
 
