crspread: run the tree over crwire

Cause: the core needs connections, a clock and bounded queues on nodes and control instances. Change: Node and Root run the core in one goroutine behind a bounded ring, with one sender and one receiver per link.

--- /dev/null
+++ b/internal/crspread/driver.go
@@ -0,0 +1,301 @@
+package crspread
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crring"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Methods of the tree.
+const (
+	methodJoin = "spread.join"
+	methodUp   = "spread.up"
+)
+
+// Sizes of the rings. A message to the core that does not fit is lost, which the gap check and the timeouts repair; a
+// child that does not take its messages is dropped and rejoins.
+const (
+	inRing    = 4096
+	downRing  = 1024
+	upRing    = 64
+	callLimit = 2 * time.Second
+	// leaveLimit bounds the last message of a planned stop.
+	leaveLimit = 200 * time.Millisecond
+)
+
+// event is one input of the core.
+type event func(now time.Time, c *Core) []Output
+
+// driver runs a core over an endpoint.
+type driver struct {
+	endpoint *crwire.Endpoint
+	onUpdate func(Update)
+	in       *crring.Ring[event]
+	links    atomic.Uint64
+	wg       sync.WaitGroup
+	// ctx ends with Run.
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu       sync.Mutex
+	core     *Core
+	children map[uint64]*childConn
+	parents  map[uint64]*parentConn
+}
+
+// childConn carries messages to one child; a nil message ends it.
+type childConn struct {
+	session *crwire.Session
+	down    *crring.Ring[*crwire.SpreadDown]
+	cancel  context.CancelFunc
+}
+
+// parentConn carries messages from and to one parent.
+type parentConn struct {
+	cancel context.CancelFunc
+	up     *crring.Ring[*crwire.SpreadUp]
+	// session and link are set when the parent has accepted.
+	session *crwire.Session
+	link    uint64
+}
+
+func newDriver(cfg Config, e *crwire.Endpoint, onUpdate func(Update)) *driver {
+	d := &driver{
+		endpoint: e, onUpdate: onUpdate, in: crring.New[event](inRing),
+		core: New(time.Now(), cfg), children: map[uint64]*childConn{}, parents: map[uint64]*parentConn{},
+	}
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	return d
+}
+
+// loop owns the core.
+func (d *driver) loop(ctx context.Context) error {
+	tick := time.NewTicker(BatchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case ev := <-d.in.C():
+			d.step(ev)
+		case <-tick.C:
+			d.step(func(now time.Time, c *Core) []Output { return c.Tick(now) })
+		case <-ctx.Done():
+			d.leave()
+			d.stop()
+			d.wg.Wait()
+			return nil
+		}
+	}
+}
+
+func (d *driver) step(ev event) {
+	d.mu.Lock()
+	outs := ev(time.Now(), d.core)
+	d.mu.Unlock()
+	for _, o := range outs {
+		d.perform(o)
+	}
+}
+
+func (d *driver) perform(o Output) {
+	switch o := o.(type) {
+	case SendDown:
+		d.sendDown(o)
+	case CloseChild:
+		if c := d.child(o.Link); c != nil && !c.down.Push(nil) {
+			c.cancel()
+		}
+	case OpenParent:
+		d.openParent(o)
+	case SendUp:
+		if p := d.parent(o.Link); p != nil {
+			p.up.Push(o.Message)
+		}
+	case CloseParent:
+		if p := d.parent(o.Link); p != nil {
+			p.cancel()
+		}
+	case Update:
+		if d.onUpdate != nil {
+			d.onUpdate(o)
+		}
+	}
+}
+
+func (d *driver) sendDown(o SendDown) {
+	c := d.child(o.Link)
+	if c == nil {
+		return
+	}
+	if r := o.Message.GetReply(); r != nil {
+		r.Link = o.Link
+	}
+	if !c.down.Push(o.Message) {
+		c.cancel()
+	}
+}
+
+func (d *driver) child(link uint64) *childConn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.children[link]
+}
+
+func (d *driver) parent(link uint64) *parentConn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.parents[link]
+}
+
+func (d *driver) status() Status {
+	if d == nil {
+		return Status{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Status(time.Now())
+}
+
+func (d *driver) progress() Progress {
+	if d == nil {
+		return Progress{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Progress(time.Now())
+}
+
+// register adds the handlers of a driver that Run sets later.
+func register(m *crwire.Mux, run *atomic.Pointer[driver]) {
+	crwire.HandleStream(m, methodJoin, func(ctx context.Context, from *crwire.Session, j *crwire.SpreadJoin, send func(*crwire.SpreadDown) error) error {
+		d := run.Load()
+		if d == nil || d.ctx.Err() != nil {
+			return crcode.New(crcode.Stopping, "not running")
+		}
+		return d.serveChild(ctx, from, j, send)
+	})
+	crwire.Handle(m, methodUp, func(_ context.Context, from *crwire.Session, up *crwire.SpreadUp) (*crwire.SpreadEmpty, error) {
+		d := run.Load()
+		if d == nil {
+			return nil, crcode.New(crcode.Stopping, "not running")
+		}
+		if c := d.child(up.GetLink()); c == nil || c.session != from {
+			return nil, crcode.New(crcode.NotFound, "no such child")
+		}
+		if !d.in.Push(func(now time.Time, c *Core) []Output { return c.ChildUp(now, up.GetLink(), up) }) {
+			return nil, crcode.New(crcode.Overflow, "spread events")
+		}
+		return &crwire.SpreadEmpty{}, nil
+	})
+}
+
+// serveChild sends the child's messages until either side ends the link.
+func (d *driver) serveChild(ctx context.Context, from *crwire.Session, j *crwire.SpreadJoin, send func(*crwire.SpreadDown) error) error {
+	if j.GetName() != from.Peer().Name {
+		return crcode.New(crcode.BadRequest, "the joiner is %q, the session's peer %q", j.GetName(), from.Peer().Name)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.ctx, cancel)()
+	link := d.links.Add(1)
+	c := &childConn{session: from, down: crring.New[*crwire.SpreadDown](downRing), cancel: cancel}
+	d.mu.Lock()
+	d.children[link] = c
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.children, link)
+		d.mu.Unlock()
+		d.in.Push(func(now time.Time, c *Core) []Output { return c.ChildLost(now, link) })
+	}()
+	if !d.in.Push(func(now time.Time, c *Core) []Output { return c.ChildJoin(now, link, j) }) {
+		return crcode.New(crcode.Overflow, "spread events")
+	}
+	for {
+		m, err := c.down.Pop(ctx)
+		if err != nil || m == nil {
+			return nil
+		}
+		if err := send(m); err != nil {
+			return err
+		}
+	}
+}
+
+// openParent joins at an address and passes on what comes from there.
+func (d *driver) openParent(o OpenParent) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	p := &parentConn{cancel: cancel, up: crring.New[*crwire.SpreadUp](upRing)}
+	d.mu.Lock()
+	d.parents[o.Link] = p
+	d.mu.Unlock()
+	d.wg.Go(func() {
+		defer cancel()
+		d.receive(ctx, p, o)
+		d.mu.Lock()
+		delete(d.parents, o.Link)
+		d.mu.Unlock()
+		d.in.Push(func(now time.Time, c *Core) []Output { return c.ParentLost(now, o.Link) })
+	})
+}
+
+func (d *driver) receive(ctx context.Context, p *parentConn, o OpenParent) {
+	s, err := d.endpoint.Session(ctx, o.Address)
+	if err != nil {
+		return
+	}
+	_ = crwire.Receive(ctx, s, methodJoin, o.Join, func(m *crwire.SpreadDown) error {
+		if r := m.GetReply(); r.GetVerdict() == verdictAccepted && p.session == nil {
+			d.mu.Lock()
+			p.session, p.link = s, r.GetLink()
+			d.mu.Unlock()
+			d.wg.Go(func() { d.sendUps(ctx, p) })
+		}
+		d.in.Push(func(now time.Time, c *Core) []Output { return c.ParentDown(now, o.Link, m) })
+		return nil
+	})
+}
+
+// sendUps sends acknowledgements in order; a failure ends the link.
+func (d *driver) sendUps(ctx context.Context, p *parentConn) {
+	defer p.cancel()
+	for {
+		up, err := p.up.Pop(ctx)
+		if err != nil {
+			return
+		}
+		if err := sendUp(ctx, p, up, callLimit); err != nil {
+			return
+		}
+	}
+}
+
+func sendUp(ctx context.Context, p *parentConn, up *crwire.SpreadUp, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	up.Link = p.link
+	_, err := crwire.Call[crwire.SpreadEmpty](ctx, p.session, methodUp, up)
+	return err
+}
+
+// leave tells the parent that this process stops.
+func (d *driver) leave() {
+	d.mu.Lock()
+	outs := d.core.Leave(time.Now())
+	d.mu.Unlock()
+	for _, o := range outs {
+		if up, ok := o.(SendUp); ok {
+			p := d.parent(up.Link)
+			d.mu.Lock()
+			ready := p != nil && p.session != nil
+			d.mu.Unlock()
+			if ready {
+				_ = sendUp(d.ctx, p, up.Message, leaveLimit)
+			}
+		}
+	}
+}
