--- a/pkg/crlog/crlog_test.go
+++ b/pkg/crlog/crlog_test.go
@@ -211,6 +211,20 @@
 	c.Assert(w.leader().id, qt.Not(qt.Equals), old.id)
 }
 
+// Guards against a follower that lost only its link to the leader and takes over while the lease lasts.
+func TestBrokenLinkDoesNotDepose(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 8, 3)
+	w.settleFor(2 * time.Second)
+	l := w.leader()
+	other := l.id%3 + 1
+	w.broken[[2]uint64{min(l.id, other), max(l.id, other)}] = true
+	for range 100 {
+		w.settleFor(50 * time.Millisecond)
+		c.Assert(w.leader(), qt.Equals, l)
+	}
+}
+
 // Guards against an observer that votes, counts or misses entries, and against unsafe member changes.
 func TestObserverAndChanges(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/pkg/crstore/crstore_test.go
@@ -0,0 +1,350 @@
+package crstore
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlog"
+)
+
+func Example() {
+	dir, err := os.MkdirTemp("", "crstore")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	newID := func() (uint64, error) { return 7, nil }
+	s, _, err := Open(OS{}, dir, "control-1", newID, nil)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(s.Append(&crlog.HardState{Term: 1}, []crlog.Entry{{Index: 1, Term: 1, Data: []byte("a")}}))
+	fmt.Println(s.Close())
+	s, st, err := Open(OS{}, dir, "control-1", newID, nil)
+	fmt.Println(s.Identity().ID, st.Hard.Term, string(st.Entries[0].Data), err, s.Close())
+	// Output:
+	// <nil>
+	// <nil>
+	// 7 1 a <nil> <nil>
+}
+
+func seven() (uint64, error) { return 7, nil }
+
+// faulty passes operations on until the given number is reached, then fails all of them.
+type faulty struct {
+	OS
+	left int
+	err  error
+	// partial makes the first failing write store half of its bytes; syncs makes only syncs fail.
+	partial, syncs bool
+}
+
+func (f *faulty) fails(sync bool) bool {
+	if f.err == nil || f.syncs && !sync {
+		return false
+	}
+	f.left--
+	return f.left < 0
+}
+
+type faultyFile struct {
+	File
+	fs *faulty
+}
+
+func (f *faulty) Create(name string) (File, error) {
+	if f.fails(false) {
+		return nil, f.err
+	}
+	file, err := f.OS.Create(name)
+	return faultyFile{file, f}, err
+}
+
+func (f *faulty) Append(name string) (File, error) {
+	file, err := f.OS.Append(name)
+	return faultyFile{file, f}, err
+}
+
+func (f *faulty) Rename(from, to string) error {
+	if f.fails(false) {
+		return f.err
+	}
+	return f.OS.Rename(from, to)
+}
+
+func (f *faulty) Remove(name string) error {
+	if f.fails(false) {
+		return f.err
+	}
+	return f.OS.Remove(name)
+}
+
+func (f *faulty) SyncDir(dir string) error {
+	if f.fails(true) {
+		return f.err
+	}
+	return f.OS.SyncDir(dir)
+}
+
+func (f faultyFile) Write(b []byte) (int, error) {
+	if f.fs.fails(false) {
+		if f.fs.partial && f.fs.left == -1 {
+			n, _ := f.File.Write(b[:len(b)/2])
+			return n, f.fs.err
+		}
+		return 0, f.fs.err
+	}
+	return f.File.Write(b)
+}
+
+func (f faultyFile) Sync() error {
+	if f.fs.fails(true) {
+		return f.fs.err
+	}
+	return f.File.Sync()
+}
+
+func entry(index, term uint64) crlog.Entry {
+	return crlog.Entry{Index: index, Term: term, Data: []byte(strings.Repeat("x", int(index)))}
+}
+
+// workload writes, overwrites and compacts; it returns the last index that was stored before an error.
+func workload(s *Store) (done uint64, err error) {
+	for i := uint64(1); i <= 12; i++ {
+		if err := s.Append(&crlog.HardState{Term: i, Vote: 7}, []crlog.Entry{entry(i, i)}); err != nil {
+			return done, err
+		}
+		done = i
+		if i%5 == 0 {
+			snap := crlog.Snapshot{Index: i - 1, Term: i - 1, Members: crlog.Members{{ID: 7, Address: "a"}}, Data: []byte("state")}
+			if err := s.SaveSnapshot(snap, crlog.HardState{Term: i, Vote: 7}, []crlog.Entry{entry(i, i)}); err != nil {
+				return done, err
+			}
+		}
+	}
+	return done, nil
+}
+
+func last(st crlog.State) uint64 { return st.Snapshot.Index + uint64(len(st.Entries)) }
+
+// Guards against a stop in the middle of any file operation that loses stored entries or leaves an unusable folder.
+func TestStopAtEveryOperation(t *testing.T) {
+	c := qt.New(t)
+	for k := 0; ; k++ {
+		dir := t.TempDir()
+		fsys := &faulty{left: k, err: syscall.ENOSPC, partial: k%2 == 0}
+		var done uint64
+		s, _, err := Open(fsys, dir, "a", seven, nil)
+		if err == nil {
+			done, err = workload(s)
+			if err != nil {
+				c.Assert(crcode.Of(err), qt.Equals, crcode.DiskFull)
+				c.Assert(s.Append(&crlog.HardState{Term: 99}, nil), qt.Equals, s.Err())
+			}
+			_ = s.Close()
+		}
+		s, st, openErr := Open(OS{}, dir, "a", seven, nil)
+		c.Assert(openErr, qt.IsNil, qt.Commentf("operation %d", k))
+		c.Assert(last(st) >= done, qt.IsTrue, qt.Commentf("operation %d: %d of %d", k, last(st), done))
+		c.Assert(s.Append(nil, []crlog.Entry{entry(last(st)+1, 99)}), qt.IsNil)
+		c.Assert(s.Close(), qt.IsNil)
+		s, again, openErr := Open(OS{}, dir, "a", seven, nil)
+		c.Assert(openErr, qt.IsNil)
+		c.Assert(last(again), qt.Equals, last(st)+1)
+		c.Assert(again.Hard, qt.Equals, st.Hard)
+		c.Assert(s.Close(), qt.IsNil)
+		if err == nil {
+			c.Assert(k > 40, qt.IsTrue)
+			return
+		}
+	}
+}
+
+// Guards against writes after a failed sync, whose earlier data may be gone from the cache.
+func TestNoWriteAfterFailedSync(t *testing.T) {
+	c := qt.New(t)
+	fsys := &faulty{}
+	dir := t.TempDir()
+	s, _, err := Open(fsys, dir, "a", seven, nil)
+	c.Assert(err, qt.IsNil)
+	fsys.err, fsys.syncs, fsys.left = syscall.EIO, true, 0
+	c.Assert(crcode.Of(s.Append(&crlog.HardState{Term: 1}, nil)), qt.Equals, crcode.SyncFailed)
+	fsys.err = nil
+	before, err := os.ReadFile(filepath.Join(dir, segmentName(1)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(crcode.Of(s.Append(&crlog.HardState{Term: 2}, nil)), qt.Equals, crcode.SyncFailed)
+	c.Assert(crcode.Of(s.SaveSnapshot(crlog.Snapshot{Index: 1}, crlog.HardState{}, nil)), qt.Equals, crcode.SyncFailed)
+	after, err := os.ReadFile(filepath.Join(dir, segmentName(1)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(after, qt.DeepEquals, before)
+	c.Assert(s.Close(), qt.IsNil)
+}
+
+// sample returns a segment of five records with the place where each ends.
+func sample() (raw []byte, ends []int) {
+	raw = firstSegment()
+	ends = append(ends, len(raw))
+	for i := uint64(1); i < 5; i++ {
+		raw = appendRecord(raw, int64(len(raw)), record{hard: crlog.HardState{Term: i}, entries: []crlog.Entry{entry(i, i)}})
+		ends = append(ends, len(raw))
+	}
+	return raw, ends
+}
+
+// Guards against a torn tail that loses whole records or stops the instance.
+func TestCutAtEveryByte(t *testing.T) {
+	c := qt.New(t)
+	raw, ends := sample()
+	dir := t.TempDir()
+	s, _, err := Open(OS{}, dir, "a", seven, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	for cut := ends[0]; cut <= len(raw); cut++ {
+		c.Assert(os.WriteFile(filepath.Join(dir, segmentName(1)), raw[:cut], 0o600), qt.IsNil)
+		var reports []string
+		s, st, err := Open(OS{}, dir, "a", seven, func(f string, a ...any) { reports = append(reports, fmt.Sprintf(f, a...)) })
+		c.Assert(err, qt.IsNil)
+		whole := 0
+		for whole < len(ends) && ends[whole] <= cut {
+			whole++
+		}
+		c.Assert(len(st.Entries), qt.Equals, whole-1)
+		c.Assert(len(reports) == 1, qt.Equals, ends[whole-1] < cut)
+		c.Assert(s.Append(nil, []crlog.Entry{entry(uint64(whole), 9)}), qt.IsNil)
+		c.Assert(s.Close(), qt.IsNil)
+		s, st, err = Open(OS{}, dir, "a", seven, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(st.Entries), qt.Equals, whole)
+		c.Assert(s.Close(), qt.IsNil)
+	}
+}
+
+// Guards against silent loss of synced records when a byte before the last record is damaged.
+func TestDamageBeforeTail(t *testing.T) {
+	c := qt.New(t)
+	raw, ends := sample()
+	for i := range ends[3] {
+		bad := append([]byte(nil), raw...)
+		bad[i] ^= 0x40
+		_, err := readSegment(bad)
+		c.Assert(crcode.Of(err), qt.Equals, crcode.StoreDamaged, qt.Commentf("byte %d", i))
+	}
+}
+
+// Guards against a folder that is used twice, by another instance, or after its files were lost.
+func TestRefusedFolders(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	s, _, err := Open(OS{}, dir, "a", seven, nil)
+	c.Assert(err, qt.IsNil)
+	_, _, err = Open(OS{}, dir, "a", seven, nil)
+	c.Assert(crcode.Of(err), qt.Equals, crcode.StoreLocked)
+	_, err = workload(s)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	_, _, err = Open(OS{}, dir, "b", seven, nil)
+	c.Assert(crcode.Of(err), qt.Equals, crcode.StoreForeign)
+
+	// A copy of a stopped folder is a backup.
+	backup := filepath.Join(t.TempDir(), "backup")
+	c.Assert(os.CopyFS(backup, os.DirFS(dir)), qt.IsNil)
+	s, st, err := Open(OS{}, backup, "a", seven, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(last(st), qt.Equals, uint64(12))
+	c.Assert(string(st.Snapshot.Data), qt.Equals, "state")
+	c.Assert(s.Close(), qt.IsNil)
+
+	c.Assert(os.Remove(filepath.Join(backup, snapshotName(9))), qt.IsNil)
+	_, _, err = Open(OS{}, backup, "a", seven, nil)
+	c.Assert(crcode.Of(err), qt.Equals, crcode.StoreDamaged)
+	c.Assert(os.Remove(filepath.Join(dir, identityName)), qt.IsNil)
+	_, _, err = Open(OS{}, dir, "a", seven, nil)
+	c.Assert(crcode.Of(err), qt.Equals, crcode.StoreDamaged)
+}
+
+// Guards against a recovery that panics or accepts entries out of order.
+func FuzzReadSegment(f *testing.F) {
+	raw, _ := sample()
+	f.Add(raw)
+	f.Add(raw[:40])
+	f.Fuzz(func(t *testing.T, in []byte) {
+		_, _ = decodeSnapshot(in)
+		seg, err := readSegment(in)
+		if err != nil {
+			return
+		}
+		for i, e := range seg.entries {
+			if e.Index != seg.base+uint64(i)+1 {
+				t.Fatalf("entry %d stands at place %d after %d", e.Index, i, seg.base)
+			}
+		}
+		if seg.size > int64(len(in)) {
+			t.Fatalf("%d bytes of %d are valid", seg.size, len(in))
+		}
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	for _, group := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("changes_per_sync=%d", group), func(b *testing.B) {
+			s, _, err := Open(OS{}, b.TempDir(), "a", seven, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			data := make([]byte, 200)
+			for i := 0; i < b.N; i += group {
+				var entries []crlog.Entry
+				for k := range group {
+					entries = append(entries, crlog.Entry{Index: uint64(i + k + 1), Term: 1, Data: data})
+				}
+				if err := s.Append(nil, entries); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
+		})
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	for _, changes := range []int{1_000, 100_000} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			dir := b.TempDir()
+			s, _, err := Open(OS{}, dir, "a", seven, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := 0; i < changes; i += 1000 {
+				var entries []crlog.Entry
+				for k := range 1000 {
+					entries = append(entries, crlog.Entry{Index: uint64(i + k + 1), Term: 1, Data: make([]byte, 200)})
+				}
+				if err := s.Append(nil, entries); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				s, st, err := Open(OS{}, dir, "a", seven, nil)
+				if err != nil || len(st.Entries) != changes {
+					b.Fatal(len(st.Entries), err)
+				}
+				if err := s.Close(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
