crreplica: run a member of the replicated log

Cause: the control instances need a driver that joins the pure log, its storage and the protocol between processes. NoLeader means that a change was not accepted, CommandUnknown that it may have been. A storage error stops voting and acknowledging; the status stays readable.

--- /dev/null
+++ b/internal/crreplica/crreplica_test.go
@@ -0,0 +1,304 @@
+package crreplica
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlog"
+	"github.com/citronramp/citronramp/pkg/crstore"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// journal is a state machine that keeps all changes in order.
+type journal struct {
+	mu      sync.Mutex
+	changes []string
+}
+
+func (j *journal) Apply(index, _ uint64, data []byte) any {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.changes = append(j.changes, string(data))
+	return index
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var b []byte
+	for _, c := range j.changes {
+		b = append(binary.AppendUvarint(b, uint64(len(c))), c...)
+	}
+	return b, nil
+}
+
+func (j *journal) Restore(data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.changes = nil
+	for r := bytes.NewReader(data); r.Len() > 0; {
+		n, err := binary.ReadUvarint(r)
+		if err != nil || n > uint64(r.Len()) {
+			return errors.New("cut off")
+		}
+		b := make([]byte, n)
+		_, _ = r.Read(b)
+		j.changes = append(j.changes, string(b))
+	}
+	return nil
+}
+
+func (j *journal) all() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.changes...)
+}
+
+// instance is a running replica with its listener.
+type instance struct {
+	*Replica
+	machine  *journal
+	dir      string
+	endpoint *crwire.Endpoint
+	listener net.Listener
+	served   chan struct{}
+	err      error
+}
+
+// brokenFS fails all syncs of segments once broken is set.
+type brokenFS struct {
+	crstore.OS
+	broken atomic.Bool
+}
+
+type brokenFile struct {
+	crstore.File
+	fs *brokenFS
+}
+
+func (f *brokenFS) Append(name string) (crstore.File, error) {
+	file, err := f.OS.Append(name)
+	return brokenFile{file, f}, err
+}
+
+func (f brokenFile) Sync() error {
+	if f.fs.broken.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+func listen(tb testing.TB, address string) net.Listener {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return ln
+}
+
+// launch starts a replica on a listener; an empty dir makes an observer.
+func launch(tb testing.TB, fsys crstore.FS, dir string, ln net.Listener, id uint64, set func(*Replica)) *instance {
+	tb.Helper()
+	in := &instance{machine: &journal{}, dir: dir, listener: ln, served: make(chan struct{})}
+	mux := &crwire.Mux{}
+	in.endpoint = &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: fmt.Sprint(id), Role: crwire.RoleControl}}, Mux: mux}
+	in.Replica = &Replica{
+		ID: id, Address: ln.Addr().String(), Observer: dir == "", Endpoint: in.endpoint, Machine: in.machine,
+		Rand: rand.New(rand.NewPCG(id, id)), Log: crlog.Config{SnapshotEntries: 200},
+	}
+	if dir != "" {
+		var err error
+		in.Store, in.State, err = crstore.Open(fsys, dir, "control", func() (uint64, error) { return id, nil }, nil)
+		if err != nil {
+			tb.Fatal(err)
+		}
+	}
+	set(in.Replica)
+	in.Register(mux)
+	go func() { _ = in.endpoint.Serve(ln) }()
+	go func() {
+		defer close(in.served)
+		in.err = in.Run(context.Background())
+	}()
+	tb.Cleanup(in.kill)
+	return in
+}
+
+// kill ends a replica without handing leadership over.
+func (in *instance) kill() {
+	_ = in.listener.Close()
+	in.cancel()
+	<-in.served
+	in.endpoint.Close()
+}
+
+func cluster(tb testing.TB, voters int, fsys crstore.FS) []*instance {
+	tb.Helper()
+	var lns []net.Listener
+	var members crlog.Members
+	for i := range voters {
+		lns = append(lns, listen(tb, "127.0.0.1:0"))
+		members = append(members, crlog.Member{ID: uint64(i + 1), Address: lns[i].Addr().String()})
+	}
+	var out []*instance
+	for i := range voters {
+		out = append(out, launch(tb, fsys, filepath.Join(tb.TempDir(), "data"), lns[i], uint64(i+1), func(r *Replica) { r.Bootstrap = members }))
+	}
+	return out
+}
+
+// until waits for a condition; the limit only ends a test that would hang.
+func until(tb testing.TB, cond func() bool) {
+	tb.Helper()
+	for end := time.Now().Add(30 * time.Second); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatal("the condition was not met")
+		}
+	}
+}
+
+func leaderOf(tb testing.TB, ins []*instance) *instance {
+	tb.Helper()
+	var found *instance
+	until(tb, func() bool {
+		for _, in := range ins {
+			if in.Status().Leads {
+				found = in
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func others(ins []*instance, not *instance) []*instance {
+	var out []*instance
+	for _, in := range ins {
+		if in != not {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+func put(tb testing.TB, in *instance, data string) {
+	tb.Helper()
+	result, index, _, err := in.Propose(tb.Context(), []byte(data))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if result != index {
+		tb.Fatalf("result %v of the entry at %d", result, index)
+	}
+}
+
+// Guards against lost or differing changes after a fail-over, a restart from storage and with an observer.
+func TestFailoverAndRestart(t *testing.T) {
+	c := qt.New(t)
+	ins := cluster(t, 3, crstore.OS{})
+	l := leaderOf(t, ins)
+	var wg sync.WaitGroup
+	for i := range 500 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, _, _, err := l.Propose(t.Context(), fmt.Appendf(nil, "a%d", i))
+			c.Check(err, qt.IsNil)
+		}()
+	}
+	wg.Wait()
+	_, _, _, err := others(ins, l)[0].Propose(t.Context(), []byte("x"))
+	c.Assert(crcode.Of(err), qt.Equals, crcode.NoLeader)
+	l.kill()
+	c.Assert(l.err, qt.IsNil)
+	rest := others(ins, l)
+	next := leaderOf(t, rest)
+	put(t, next, "b")
+
+	obs := launch(t, nil, "", listen(t, "127.0.0.1:0"), 99, func(r *Replica) { r.Seeds = []string{rest[0].Address} })
+	_, err = obs.ReadIndex(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(obs.machine.all(), qt.DeepEquals, next.machine.all())
+	c.Assert(obs.machine.all(), qt.HasLen, 501)
+
+	back := launch(t, crstore.OS{}, l.dir, listen(t, l.Address), l.ID, func(*Replica) {})
+	_, err = back.ReadIndex(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(back.machine.all(), qt.DeepEquals, next.machine.all())
+}
+
+// Guards against a member that goes on voting or acknowledging after a failed sync.
+func TestFailedSyncStops(t *testing.T) {
+	c := qt.New(t)
+	fsys := &brokenFS{}
+	in := cluster(t, 1, fsys)[0]
+	leaderOf(t, []*instance{in})
+	put(t, in, "a")
+	fsys.broken.Store(true)
+	_, _, _, err := in.Propose(t.Context(), []byte("b"))
+	c.Assert(crcode.Of(err), qt.Equals, crcode.CommandUnknown)
+	_, _, _, err = in.Propose(t.Context(), []byte("c"))
+	c.Assert(crcode.Of(err), qt.Equals, crcode.NoLeader)
+	until(t, func() bool { return crcode.Of(in.Status().LastError) == crcode.SyncFailed })
+	c.Assert(in.Status().Leads, qt.IsFalse)
+	c.Assert(in.machine.all(), qt.DeepEquals, []string{"a"})
+}
+
+// Guards against a replaced member that is counted before it has caught up, and against a stop that loses the lead.
+func TestReplaceAndStop(t *testing.T) {
+	c := qt.New(t)
+	ins := cluster(t, 3, crstore.OS{})
+	l := leaderOf(t, ins)
+	put(t, l, "a")
+	lost := others(ins, l)[0]
+	lost.kill()
+	ln := listen(t, "127.0.0.1:0")
+	c.Assert(l.ReplaceMember(t.Context(), lost.ID, 4, ln.Addr().String()), qt.IsNil)
+	c.Assert(l.Status().Settled, qt.IsFalse)
+	err := l.AddMember(t.Context(), 5, "127.0.0.1:1")
+	c.Assert(crcode.Of(err), qt.Equals, crcode.ChangePending)
+	fresh := launch(t, crstore.OS{}, filepath.Join(t.TempDir(), "data"), ln, 4, func(*Replica) {})
+	until(t, func() bool { return l.Status().Settled && fresh.Status().StateApplied >= l.Status().Commit })
+	c.Assert(l.Status().Members.Voters(), qt.HasLen, 3)
+	c.Assert(fresh.machine.all(), qt.DeepEquals, []string{"a"})
+
+	l.Stop(t.Context())
+	<-l.served
+	c.Assert(l.err, qt.IsNil)
+	next := leaderOf(t, others(append(ins, fresh), l))
+	put(t, next, "b")
+}
+
+// Guards against an unknown outcome that is reported as not accepted.
+func TestOutcomesStayApart(t *testing.T) {
+	c := qt.New(t)
+	ins := cluster(t, 3, crstore.OS{})
+	l := leaderOf(t, ins)
+	for _, in := range others(ins, l) {
+		in.kill()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, _, _, err := l.Propose(ctx, []byte("x"))
+	c.Assert(crcode.Of(err), qt.Equals, crcode.CommandUnknown)
+	until(t, func() bool { return !l.Status().Leads })
+	_, _, _, err = l.Propose(t.Context(), []byte("y"))
+	c.Assert(crcode.Of(err), qt.Equals, crcode.NoLeader)
+}
--- a/pkg/crlog/change.go
+++ b/pkg/crlog/change.go
@@ -35,7 +35,7 @@
 		return 0, 0, crcode.New(crcode.BadValue, "a member needs an id and an address")
 	case members.find(m.ID) != nil:
 		return 0, 0, crcode.New(crcode.Exists, "member %x", m.ID)
-	case m.Replaces == 0 && len(members.voters()) >= MaxVoters:
+	case m.Replaces == 0 && len(members.Voters()) >= MaxVoters:
 		return 0, 0, crcode.New(crcode.BadValue, "there are %d voters already", MaxVoters)
 	}
 	index, term = n.proposeMembers(now, append(slices.Clone(members), m))
--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -199,7 +199,7 @@
 	}
 	n.log.stored = n.log.last()
 	n.resetDeadline(now)
-	if v := n.Members().voters(); len(v) == 1 && v[0] == cfg.ID {
+	if v := n.Members().Voters(); len(v) == 1 && v[0] == cfg.ID {
 		n.deadline = now
 	}
 	return n, nil
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -120,7 +120,7 @@
 		kind = VoteRequest
 	}
 	last := n.log.last()
-	for _, id := range n.Members().voters() {
+	for _, id := range n.Members().Voters() {
 		if id != n.cfg.ID {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: last, LogTerm: n.log.term(last), Force: n.forced})
 		}
@@ -188,7 +188,7 @@
 		return n.noLeader()
 	}
 	var best uint64
-	for _, v := range n.Members().voters() {
+	for _, v := range n.Members().Voters() {
 		p := n.lead.peers[v]
 		if p == nil || id != 0 && v != id {
 			continue
--- a/pkg/crlog/members.go
+++ b/pkg/crlog/members.go
@@ -42,7 +42,8 @@
 	return v != nil && !v.Learner
 }
 
-func (m Members) voters() []uint64 {
+// Voters returns the ids of the voting members.
+func (m Members) Voters() []uint64 {
 	var out []uint64
 	for _, v := range m {
 		if !v.Learner {
@@ -67,7 +68,7 @@
 // quorum returns the highest value that a majority of the voters has reached.
 func quorum[T any](m Members, value func(id uint64) T, compare func(a, b T) int) (T, bool) {
 	var vals []T
-	for _, id := range m.voters() {
+	for _, id := range m.Voters() {
 		vals = append(vals, value(id))
 	}
 	if len(vals) == 0 {
--- a/pkg/crlog/status.go
+++ b/pkg/crlog/status.go
@@ -40,5 +40,8 @@
 	return s
 }
 
-// Hard returns the term and vote as they are to be stored.
+// Hard returns the present term and vote.
 func (n *Node) Hard() HardState { return n.hard }
+
+// StoredHard returns the term and vote that Advance has confirmed as stored.
+func (n *Node) StoredHard() HardState { return n.storedHard }
--- a/pkg/crstore/crstore.go
+++ b/pkg/crstore/crstore.go
@@ -307,7 +307,7 @@
 func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
 func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
 func damaged(f string, a ...any) error { return crcode.New(crcode.StoreDamaged, f, a...) }
-func syncFailed(err error) error { return crcode.New(codeOf(err, crcode.SyncFailed), "%v", err) }
+func syncFailed(err error) error       { return crcode.New(codeOf(err, crcode.SyncFailed), "%v", err) }
 
 func coded(err error) error { return crcode.New(codeOf(err, crcode.SyncFailed), "%v", err) }
 
