crkeeper: test the drivers over loopback

Cause: lost answers, dead and replaced keepers and late completions cross process boundaries. Change: tests with up to five nodes; an answer above the byte bound no longer evicts the kept ones, which a test found. Conclusion: resends find the record or an honest refusal in each case.

--- a/internal/crkeeper/answers.go
+++ b/internal/crkeeper/answers.go
@@ -68,10 +68,10 @@
 	}
 	k := &kept{id: id.String(), digest: digest, answer: answer, at: now.Elapsed}
 	k.size = answerOverhead + int64(len(k.id)+len(answer.Body)+len(answer.ContentType))
-	a.drop(now, limit-k.size)
 	if k.size > limit || a.byID[k.id] != nil {
 		return
 	}
+	a.drop(now, limit-k.size)
 	if a.byID == nil {
 		a.byID = make(map[string]*kept)
 	}
--- /dev/null
+++ b/internal/crkeeper/crkeeper_test.go
@@ -0,0 +1,330 @@
+package crkeeper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testGroup = 7
+
+// table is a group table that a test changes.
+type table struct {
+	mu sync.Mutex
+	g  crrecord.Group
+}
+
+func (t *table) Group(number uint32) (crrecord.Group, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.g, number == t.g.Number && t.g.Epoch > 0
+}
+
+func (t *table) set(g crrecord.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.g = g
+}
+
+type node struct {
+	keeper *Keeper
+	client *Client
+	table  *table
+	stop   func()
+}
+
+func (n *node) self() crrecord.Member { return n.client.Self }
+
+// configure tells the node a membership.
+func (n *node) configure(g crrecord.Group) {
+	n.table.set(g)
+	n.keeper.Configure([]crrecord.Group{g})
+}
+
+// boot starts a node; an empty address lets the kernel choose the port.
+func boot(t testing.TB, name, incarnation, addr string) *node {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	qt.Assert(t, err, qt.IsNil)
+	self := crrecord.Member{Node: name, Incarnation: incarnation, Address: ln.Addr().String(), Domain: name}
+	mux := new(crwire.Mux)
+	e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: name, Incarnation: incarnation, Role: crwire.RoleNode}}, Mux: mux}
+	n := &node{table: new(table)}
+	now := NewClock()
+	n.keeper = &Keeper{Core: &crrecord.Keeper{Self: self}, Endpoint: e, Now: now}
+	answers := &Answers{Self: self, Now: now}
+	n.client = &Client{Self: self, Groups: n.table, Endpoint: e, Local: n.keeper, Answers: answers}
+	n.keeper.Register(mux)
+	answers.Register(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, run := range []func(){func() { _ = e.Serve(ln) }, func() { n.keeper.Run(ctx) }, func() { n.client.Run(ctx) }} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			run()
+		}()
+	}
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = ln.Close()
+		e.Close()
+		wg.Wait()
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+// cluster starts nodes; the first three are the keepers of the test group.
+func cluster(t testing.TB, n int) []*node {
+	var nodes []*node
+	g := crrecord.Group{Number: testGroup, Epoch: 1}
+	for i := range n {
+		nodes = append(nodes, boot(t, fmt.Sprint("n", i), "1", ""))
+		if i < crrecord.GroupSize {
+			g.Members = append(g.Members, nodes[i].self())
+		}
+	}
+	for _, x := range nodes {
+		x.configure(g)
+	}
+	for _, x := range nodes[:min(n, crrecord.GroupSize)] {
+		eventually(t, func() bool { return x.epoch() == 1 })
+	}
+	return nodes
+}
+
+func (n *node) epoch() (e uint64) {
+	n.keeper.with(func(core *crrecord.Keeper) { e = core.Epoch(testGroup) })
+	return e
+}
+
+// eventually waits for a condition; the bound only ends a failed test.
+func eventually(t testing.TB, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition was not reached")
+		}
+	}
+}
+
+func newID() crrecord.ID {
+	for {
+		if id := crrecord.NewID("n0-1", time.Now().UnixMilli(), rand.Uint64()); id.Group() == testGroup {
+			return id
+		}
+	}
+}
+
+var (
+	bodyA = crrecord.DigestOf("ledger", "record", []byte("a"))
+	bodyB = crrecord.DigestOf("ledger", "record", []byte("b"))
+)
+
+func (n *node) claim(id crrecord.ID, d crrecord.Digest) (Grant, error) {
+	return n.client.Claim(context.Background(), n.keeper.Now(), id, d)
+}
+
+func (n *node) complete(t testing.TB, g Grant, body []byte) {
+	t.Helper()
+	qt.Assert(t, n.client.Complete(n.keeper.Now(), g, crrecord.Answer{Status: 200, Body: body}), qt.IsTrue)
+	eventually(t, func() bool { return n.client.Pending() == 0 })
+}
+
+// Guards against a resend to another node that runs again, or that gets another or partial answer.
+func TestResendElsewhere(t *testing.T) {
+	c := qt.New(t)
+	nodes := cluster(t, 4)
+	gate, elsewhere := nodes[3], nodes[0]
+	large := bytes.Repeat([]byte("x"), crrecord.MaxAnswerBytes+1)
+	for _, body := range [][]byte{[]byte("small"), large} {
+		id := newID()
+		g, err := gate.claim(id, bodyA)
+		c.Assert(err, qt.IsNil)
+		c.Assert(g.Replayed, qt.IsFalse)
+		_, err = elsewhere.claim(id, bodyA)
+		c.Check(crcode.Of(err), qt.Equals, crcode.InProgress)
+		gate.complete(t, g, body)
+		for _, n := range nodes {
+			again, err := n.claim(id, bodyA)
+			c.Assert(err, qt.IsNil)
+			c.Check(again.Replayed && bytes.Equal(again.Answer.Body, body), qt.IsTrue)
+		}
+		_, err = elsewhere.claim(id, bodyB)
+		c.Check(crcode.Of(err), qt.Equals, crcode.IDOtherBody)
+		if len(body) > crrecord.MaxAnswerBytes {
+			gate.stop()
+			_, err = elsewhere.claim(id, bodyA)
+			c.Check(crcode.Of(err), qt.Equals, crcode.AnswerNotKept)
+			c.Check(crcode.Of(err).Outcome(), qt.Equals, crcode.Run)
+		}
+	}
+}
+
+// Guards against a released claim that blocks its id.
+func TestReleaseFreesID(t *testing.T) {
+	c := qt.New(t)
+	nodes := cluster(t, 3)
+	id := newID()
+	g, err := nodes[0].claim(id, bodyA)
+	c.Assert(err, qt.IsNil)
+	c.Assert(nodes[0].client.Release(g), qt.IsTrue)
+	eventually(t, func() bool { return nodes[0].client.Pending() == 0 })
+	// A majority has dropped the claim, so the next one is granted whatever the third member says.
+	_, err = nodes[1].claim(id, bodyA)
+	c.Check(err, qt.IsNil)
+}
+
+// Guards against lost records when a keeper dies, comes back empty under its old address, and is replaced.
+func TestKeeperCrashAndReplacement(t *testing.T) {
+	c := qt.New(t)
+	nodes := cluster(t, 4)
+	ran, crashed := newID(), newID()
+	g, err := nodes[3].claim(ran, bodyA)
+	c.Assert(err, qt.IsNil)
+	nodes[3].complete(t, g, []byte("answer"))
+	_, err = nodes[3].claim(crashed, bodyA)
+	c.Assert(err, qt.IsNil)
+
+	old := nodes[0].self()
+	nodes[0].stop()
+	_, err = nodes[3].claim(newID(), bodyA)
+	c.Check(err, qt.IsNil, qt.Commentf("two of three decide"))
+	present, _ := nodes[3].table.Group(testGroup)
+	reborn := boot(t, old.Node, "2", old.Address)
+	reborn.configure(present)
+	_, err = nodes[3].claim(crashed, bodyA)
+	c.Check(crcode.Of(err), qt.Equals, crcode.InProgress)
+	reply, err := call[crwire.RecordReply](nodes[3].client, old, methodClaim, &crwire.RecordClaim{TargetIncarnation: "1"}, time.Second)
+	c.Check(reply == nil && crcode.Of(err) == crcode.StaleIncarnation, qt.IsTrue, qt.Commentf("%v", err))
+
+	next := crrecord.Group{Number: testGroup, Epoch: 2, Previous: present.Members}
+	next.Members = []crrecord.Member{reborn.self(), nodes[1].self(), nodes[2].self()}
+	live := []*node{reborn, nodes[1], nodes[2], nodes[3]}
+	for _, n := range live {
+		n.configure(next)
+	}
+	for _, n := range live[:3] {
+		eventually(t, func() bool { return n.epoch() == 2 })
+	}
+	for _, n := range live {
+		again, err := n.claim(ran, bodyA)
+		c.Assert(err, qt.IsNil)
+		c.Check(again.Replayed && string(again.Answer.Body) == "answer", qt.IsTrue)
+		_, err = n.claim(crashed, bodyA)
+		c.Check(crcode.Of(err), qt.Equals, crcode.InProgress)
+	}
+}
+
+// Guards against a claim or an answer that is decided by keepers of an old group epoch.
+func TestOldEpochDecidesNothing(t *testing.T) {
+	c := qt.New(t)
+	nodes := cluster(t, 5)
+	stale, isolated := nodes[4], nodes[0]
+	id := newID()
+	g, err := stale.claim(id, bodyA)
+	c.Assert(err, qt.IsNil)
+	present, _ := stale.table.Group(testGroup)
+	next := crrecord.Group{Number: testGroup, Epoch: 2, Previous: present.Members}
+	next.Members = []crrecord.Member{nodes[3].self(), nodes[1].self(), nodes[2].self()}
+	for _, n := range nodes[1:4] {
+		n.configure(next)
+	}
+	for _, n := range nodes[1:4] {
+		eventually(t, func() bool { return n.epoch() == 2 })
+	}
+	// Node 0 never learns of epoch 2 and may still vote in epoch 1, alone.
+	c.Check(isolated.epoch() <= 1, qt.IsTrue)
+	_, err = stale.claim(newID(), bodyA)
+	c.Check(crcode.Of(err), qt.Equals, crcode.ClaimFailed)
+	// The completion of a run from epoch 1 reaches epoch 2 once its gate learns of it.
+	c.Assert(stale.client.Complete(stale.keeper.Now(), g, crrecord.Answer{Status: 200, Body: []byte("late")}), qt.IsTrue)
+	stale.configure(next)
+	eventually(t, func() bool { return stale.client.Pending() == 0 })
+	again, err := nodes[3].claim(id, bodyA)
+	c.Assert(err, qt.IsNil)
+	c.Check(again.Replayed && string(again.Answer.Body) == "late", qt.IsTrue)
+}
+
+// Guards against a gate without a majority that runs, and against a refusal that hides an earlier run.
+func TestGateWithoutMajority(t *testing.T) {
+	c := qt.New(t)
+	nodes := cluster(t, 3)
+	id := newID()
+	_, err := nodes[0].claim(id, bodyA)
+	c.Assert(err, qt.IsNil)
+	nodes[1].stop()
+	nodes[2].stop()
+	_, err = nodes[0].claim(newID(), bodyA)
+	c.Check(crcode.Of(err), qt.Equals, crcode.ClaimFailed)
+	_, err = nodes[0].claim(id, bodyA)
+	c.Check(crcode.Of(err), qt.Equals, crcode.InProgress)
+	_, err = (&Client{Groups: new(table)}).Claim(context.Background(), crrecord.Instant{}, id, bodyA)
+	c.Check(crcode.Of(err), qt.Equals, crcode.NotConfigured)
+}
+
+// Guards against more retries than the bound when entrances count arrivals at the keepers at the same time.
+func TestCountArrivalStaysWithinSlots(t *testing.T) {
+	c := qt.New(t)
+	nodes := cluster(t, 3)
+	id := newID()
+	const slots = 3
+	results := make(chan int, 12)
+	for i := range cap(results) {
+		go func() {
+			n, err := nodes[i%3].client.CountArrival(context.Background(), id, slots, 1+i%2)
+			if err != nil {
+				n = 0
+			}
+			results <- n
+		}()
+	}
+	sum := 0
+	for range cap(results) {
+		sum += <-results
+	}
+	c.Check(sum <= slots, qt.IsTrue, qt.Commentf("%d", sum))
+	n, err := nodes[0].client.CountArrival(context.Background(), id, slots, slots)
+	c.Check(n == 0 && crcode.Of(err) == crcode.RetriesSpent, qt.IsTrue, qt.Commentf("%d %v", n, err))
+	n, err = nodes[0].client.CountArrival(context.Background(), newID(), slots, 9)
+	c.Check(n == slots && err == nil, qt.IsTrue, qt.Commentf("%d %v", n, err))
+}
+
+// Guards against whole answers that outgrow their bound or outlive their record.
+func TestAnswersBound(t *testing.T) {
+	c := qt.New(t)
+	a := &Answers{MaxBytes: 10_000}
+	now := crrecord.Instant{Elapsed: time.Hour}
+	ids := []crrecord.ID{newID(), newID(), newID()}
+	for _, id := range ids {
+		a.Keep(now, id, bodyA, crrecord.Answer{Body: make([]byte, 4000)})
+		c.Check(a.Bytes() <= 10_000, qt.IsTrue)
+	}
+	a.Keep(now, newID(), bodyA, crrecord.Answer{Body: make([]byte, 10_000)})
+	for i, id := range ids {
+		_, ok := a.Get(now, id, bodyA)
+		c.Check(ok, qt.Equals, i >= 1, qt.Commentf("two of three fit, the oldest gives way"))
+	}
+	_, ok := a.Get(now, ids[2], bodyB)
+	c.Check(ok, qt.IsFalse)
+	now.Elapsed += crrecord.Lifetime
+	_, ok = a.Get(now, ids[2], bodyA)
+	c.Check(ok, qt.IsFalse)
+}
