crprint: print answers as text and JSON, encode changes for the log

Cause: the control daemon needs one place that turns parsed changes into log commands and answers into tables. A drained server that is drained again gets an answer that names return.

--- a/internal/crconfig/crconfig.go
+++ b/internal/crconfig/crconfig.go
@@ -24,6 +24,15 @@
 // String returns the version as EPOCH.INDEX.
 func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch, v.Index) }
 
+// MarshalText returns the version as EPOCH.INDEX, so that JSON holds it as a string.
+func (v Version) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText reads EPOCH.INDEX.
+func (v *Version) UnmarshalText(text []byte) (err error) {
+	*v, err = ParseVersion(string(text))
+	return err
+}
+
 // Wire returns the version as a message.
 func (v Version) Wire() *crwire.ConfigVersion {
 	return &crwire.ConfigVersion{Epoch: v.Epoch, Index: v.Index}
--- a/internal/crconfig/objects.go
+++ b/internal/crconfig/objects.go
@@ -159,7 +159,13 @@
 	return first(
 		func() *answer { return names(c.Node) },
 		func() *answer { return t.expect(key) },
-		func() *answer { return t.mustNot(key) },
+		func() *answer {
+			no := t.mustNot(key)
+			if no != nil {
+				no.Detail = "the server of node " + c.Node + " is drained already; use return server to give it work again"
+			}
+			return no
+		},
 		func() *answer { return t.room(key, t.s.drained, MaxDrained, "drained servers") },
 		func() *answer { return t.put(key, "", &crwire.ServerConfig{Node: c.Node, Drained: true}) },
 	)
--- a/internal/crlang/characters.go
+++ b/internal/crlang/characters.go
@@ -128,6 +128,8 @@
 	switch {
 	case r == ',' || r == 0x066B || r == 0xFF0C:
 		return "write whole numbers with a smaller unit, for example 1500ms"
+	case r == '+':
+		return "write numbers without a sign and times in UTC with Z at the end"
 	case unicode.IsDigit(r):
 		return "write the digits 0 to 9"
 	case r == '\n' || r == '\r':
--- /dev/null
+++ b/internal/crlang/help.go
@@ -0,0 +1,51 @@
+package crlang
+
+import (
+	"slices"
+	"strings"
+)
+
+// Usage is one form of the grammar with its meaning.
+type Usage struct {
+	Form    string
+	Meaning string
+}
+
+// kindForm and changeForm are the options that several commands share.
+const (
+	kindForm   = "[worth N] [class protected|ordinary] [repeat yes|no] [deadline TIME] [retries N]"
+	changeForm = " [id ID] [if VERSION]"
+)
+
+var usages = []Usage{
+	{"create service NAME [owner NAME]" + changeForm, "Make a new service."},
+	{"create kind SERVICE/KIND " + kindForm + changeForm, "Make a new request kind."},
+	{"set service NAME owner NAME" + changeForm, "Change the owner of a service."},
+	{"set kind SERVICE/KIND " + kindForm + changeForm, "Change the named properties of a kind. The others stay."},
+	{"delete service NAME" + changeForm, "Remove a service that has no kinds."},
+	{"delete kind SERVICE/KIND" + changeForm, "Remove a kind."},
+	{"drain server NODE" + changeForm, "Send no new work to the server of this node."},
+	{"return server NODE" + changeForm, "Send work to a drained server again."},
+	{"lift conviction FINGERPRINT" + changeForm, "Allow a blocked request again."},
+	{"add member NAME at IP:PORT" + changeForm, "Add a control member."},
+	{"remove member NAME" + changeForm, "Remove a control member."},
+	{"replace member OLD with NEW at IP:PORT" + changeForm, "Put a new control member in the place of an old one."},
+	{"show services", "List the services."},
+	{"show kinds [service NAME]", "List the kinds with their properties."},
+	{"show servers [service NAME]", "List the servers and their state."},
+	{"show shedding [service NAME]", "List what is refused now, and why."},
+	{"show leader", "Tell which control member is in charge."},
+	{"show spread [version VERSION]", "Tell how far a change has spread."},
+	{"show members", "List the control members."},
+	{"show convictions [service NAME] [since UTC]", "List the blocked requests."},
+	{"show version", "Tell the version of the configuration."},
+	{"wait VERSION [timeout TIME]", "Wait until a version is in force on every node."},
+	{"help [WORD]", "Show the commands, or those that start with the word."},
+}
+
+// Usages returns the forms of the commands that start with word; an empty word returns all.
+func Usages(word string) []Usage {
+	return slices.DeleteFunc(slices.Clone(usages), func(u Usage) bool {
+		return word != "" && !strings.HasPrefix(u.Form, word+" ")
+	})
+}
--- a/internal/crlang/parser.go
+++ b/internal/crlang/parser.go
@@ -114,38 +114,29 @@
 
 // options reads the options in any order until the end of the line.
 func (p *parser) options(list ...option) error {
+	left := slices.Clone(list)
 	for p.next < len(p.words) {
 		w := p.peek()
-		i := slices.IndexFunc(list, func(o option) bool { return o.word == w.text })
-		if i < 0 {
-			return p.noOption(w, list)
+		is := func(o option) bool { return o.word == w.text }
+		i := slices.IndexFunc(left, is)
+		switch {
+		case i >= 0:
+		case slices.ContainsFunc(list, is):
+			return fail(crcode.Syntax, w, "%s stands twice; write it once", w.text)
+		case len(left) == 0:
+			return fail(crcode.Syntax, w, "%q is too much; the command ends before it", w.text)
+		default:
+			return unexpected(crcode.Syntax, w, optionWords(left))
 		}
 		p.next++
-		if err := list[i].read(p); err != nil {
+		if err := left[i].read(p); err != nil {
 			return err
 		}
-		list = slices.Delete(slices.Clone(list), i, i+1)
+		left = slices.Delete(left, i, i+1)
 	}
 	return nil
 }
 
-// noOption returns the error for a word that is not an option, or no longer one.
-func (p *parser) noOption(w word, list []option) error {
-	for _, before := range p.words[:p.next] {
-		if before.text == w.text && isOption(w.text) {
-			return fail(crcode.Syntax, w, "%s stands twice; write it once", w.text)
-		}
-	}
-	if len(list) == 0 {
-		return fail(crcode.Syntax, w, "%q is too much; the command ends before it", w.text)
-	}
-	return unexpected(crcode.Syntax, w, optionWords(list))
-}
-
-func isOption(text string) bool {
-	return slices.Contains([]string{"owner", "worth", "class", "repeat", "deadline", "retries", "id", "if", "service", "since", "version", "timeout"}, text)
-}
-
 func optionWords(list []option) []string {
 	words := make([]string, len(list))
 	for i, o := range list {
--- /dev/null
+++ b/internal/crprint/result.go
@@ -0,0 +1,111 @@
+package crprint
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crconfig"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Result answers a change, or any command that failed.
+type Result struct {
+	Code    crcode.Code `json:"code"`
+	Name    string      `json:"name"`
+	Outcome string      `json:"outcome"`
+	Key     string      `json:"key,omitempty"`
+	// Version is the version of an accepted change.
+	Version *crconfig.Version `json:"version,omitempty"`
+	Detail  string            `json:"detail,omitempty"`
+	// Text tells what the code means and what to do next.
+	Text string `json:"text"`
+	// Replayed tells that the command was applied before and this is its first answer.
+	Replayed bool `json:"replayed,omitempty"`
+	// Current is the object's version that the command met.
+	Current *crconfig.Version `json:"current_version,omitempty"`
+	Changed *Changed          `json:"changed,omitempty"`
+}
+
+// Changed tells who made the change that a refused command met.
+type Changed struct {
+	By   string    `json:"by"`
+	What string    `json:"what"`
+	At   time.Time `json:"at"`
+}
+
+// ResultOf returns the answer to a change of the configuration.
+func ResultOf(a *crwire.ConfigAnswer) Result {
+	r := codeResult(crcode.Code(a.GetCode()))
+	r.Key, r.Detail, r.Replayed = a.GetKey(), a.GetDetail(), a.GetReplayed()
+	if v := a.GetVersion(); v != nil {
+		r.Version = versionOf(v)
+	}
+	if v := a.GetCurrent(); v != nil {
+		r.Current = versionOf(v)
+	}
+	if c := a.GetChanged(); c != nil {
+		r.Changed = &Changed{By: system(c.Operator), What: c.What, At: time.UnixMilli(c.AtMs).UTC()}
+	}
+	return r
+}
+
+// ErrorOf returns the answer to a command that failed with err.
+func ErrorOf(err error) Result {
+	r := codeResult(crcode.Of(err))
+	var e *crcode.Error
+	if errors.As(err, &e) {
+		r.Detail = e.Detail
+	}
+	return r
+}
+
+// MemberResult returns the answer to an accepted change of control members.
+func MemberResult(name string, v crconfig.Version) Result {
+	r := codeResult(crcode.OK)
+	r.Key, r.Version = "member/"+name, &v
+	return r
+}
+
+func codeResult(c crcode.Code) Result {
+	i := c.Info()
+	r := Result{Code: c, Name: i.Name, Outcome: i.Outcome.String(), Text: i.Text}
+	if c == crcode.OK {
+		r.Text = "The change is accepted."
+	}
+	return r
+}
+
+func versionOf(m *crwire.ConfigVersion) *crconfig.Version {
+	v := crconfig.VersionOf(m)
+	return &v
+}
+
+func (a Result) table() table {
+	if a.Code == crcode.OK {
+		text := "Accepted"
+		if a.Replayed {
+			text = "Accepted before; this is the first answer again"
+		}
+		if a.Key != "" && a.Version != nil {
+			text += fmt.Sprintf(": %s has version %s", a.Key, a.Version)
+		}
+		s := []string{text + "."}
+		if a.Version != nil {
+			s = append(s, fmt.Sprintf("To wait until it is in force everywhere: wait %s", a.Version))
+		}
+		return table{sentences: s}
+	}
+	s := []string{fmt.Sprintf("Error %d %s: %s", a.Code, a.Name, a.Text)}
+	if a.Replayed {
+		s[0] += " This is the first answer again."
+	}
+	if a.Detail != "" {
+		s = append(s, a.Detail+".")
+	}
+	if a.Changed != nil {
+		s = append(s, fmt.Sprintf("Changed at %s by %s.", utc(a.Changed.At), a.Changed.By))
+	}
+	return table{sentences: s}
+}
