--- a/internal/crprint/crprint_test.go
+++ b/internal/crprint/crprint_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -61,8 +62,13 @@
 	emit("show version", crprint.Version{Version: v, AgeMS: 6000})
 	emit("wait 1.11", crprint.Waited{Version: v, Done: true, ElapsedMS: 120, Nodes: 300, InForce: 300})
 	emit("wait 1.11 timeout 1s", crprint.Waited{Version: v, ElapsedMS: 1000, Nodes: 300, InForce: 299, Behind: crprint.Rows[string]{"n7"}})
-	_, err := crlang.Parse("show cats")
-	emit("show cats", crprint.ErrorOf(err))
+	for _, line := range []string{"show cats", "set kind ledger/record", "create kind ledger/r\u0435cord worth 9"} {
+		_, err := crlang.Parse(line)
+		emit(line, crprint.ErrorOf(err))
+	}
+	emit("add member c4 at 127.0.0.1:7104", crprint.MemberResult("c4"))
+	emit("remove member c3", crprint.MemberResult("c3"))
+	emit("replace member c2 with c5 at 127.0.0.1:7105", crprint.MemberResult("c5"))
 	emit("help lift", crprint.HelpOf("lift"))
 	golden(c, "testdata/text.golden", text.String())
 	golden(c, "testdata/json.golden", js.String())
@@ -77,6 +83,24 @@
 	c.Assert(got, qt.Equals, string(want))
 }
 
+// Guards against a page for operators that shows a command or an answer that the program does not give.
+func TestOperatorsPageShowsRealAnswers(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/operators.md")
+	c.Assert(err, qt.IsNil)
+	answers, err := os.ReadFile("testdata/text.golden")
+	c.Assert(err, qt.IsNil)
+	examples := regexp.MustCompile("(?sm)^(> .*?\n)(\n|```)").FindAllStringSubmatch(string(page), -1)
+	c.Assert(len(examples) > 20, qt.IsTrue)
+	for _, e := range examples {
+		c.Check(strings.Contains(string(answers), e[1]+"\n"), qt.IsTrue, qt.Commentf("%s", e[1]))
+	}
+	for _, u := range crlang.Usages("") {
+		plain, _, _ := strings.Cut(u.Form, " [")
+		c.Check(strings.Contains(string(page), "`"+plain), qt.IsTrue, qt.Commentf("%s is not on the page", plain))
+	}
+}
+
 // Guards against a change of members that is sent as a change of the configuration.
 func TestMemberChangeIsNotEncoded(t *testing.T) {
 	_, ok := crprint.Encode(crlang.RemoveMember{Name: "c1"}, "amina", start)
--- a/internal/crprint/result.go
+++ b/internal/crprint/result.go
@@ -61,10 +61,11 @@
 	return r
 }
 
-// MemberResult returns the answer to an accepted change of control members.
-func MemberResult(name string, v crconfig.Version) Result {
+// MemberResult returns the answer to an accepted change of control members. It has no version, since the change is not
+// part of the configuration that spreads to the nodes.
+func MemberResult(name string) Result {
 	r := codeResult(crcode.OK)
-	r.Key, r.Version = "member/"+name, &v
+	r.Key = "member/" + name
 	return r
 }
 
@@ -84,18 +85,7 @@
 
 func (a Result) table() table {
 	if a.Code == crcode.OK {
-		text := "Accepted"
-		if a.Replayed {
-			text = "Accepted before; this is the first answer again"
-		}
-		if a.Key != "" && a.Version != nil {
-			text += fmt.Sprintf(": %s has version %s", a.Key, a.Version)
-		}
-		s := []string{text + "."}
-		if a.Version != nil {
-			s = append(s, fmt.Sprintf("To wait until it is in force everywhere: wait %s", a.Version))
-		}
-		return table{sentences: s}
+		return table{sentences: a.accepted()}
 	}
 	s := []string{fmt.Sprintf("Error %d %s: %s", a.Code, a.Name, a.Text)}
 	if a.Replayed {
@@ -109,3 +99,21 @@
 	}
 	return table{sentences: s}
 }
+
+// accepted returns the sentences on an accepted change.
+func (a Result) accepted() []string {
+	text := "Accepted"
+	if a.Replayed {
+		text = "Accepted before; this is the first answer again"
+	}
+	switch {
+	case a.Key == "":
+		return []string{text + "."}
+	case a.Version == nil:
+		return []string{text + ": " + a.Key + ".", "To see its state: show members"}
+	}
+	return []string{
+		fmt.Sprintf("%s: %s has version %s.", text, a.Key, a.Version),
+		fmt.Sprintf("To wait until it is in force everywhere: wait %s", a.Version),
+	}
+}
