pkg: add views of level, level table, reach and limiter

Cause: a node writes its state on request, and the bound of the level's histogram could not be seen from outside. Conclusion: state dumps need no access to internals.

--- a/pkg/cradmission/level.go
+++ b/pkg/cradmission/level.go
@@ -110,6 +110,30 @@
 	return max(l.pressure, 1)
 }
 
+// LevelView is the state of a Level, for dumps. Demand and Capacity are per second; Groups are the classes and worths
+// in the histogram, Calm the windows without pressure in a row.
+type LevelView struct {
+	Current  Priority
+	Demand   float64
+	Capacity float64
+	Pressure float64
+	Groups   int
+	Calm     int
+}
+
+// View returns the state of the level.
+func (l *Level) View() LevelView {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := LevelView{
+		Current: l.Current(), Capacity: l.capacity, Pressure: max(l.pressure, 1), Groups: len(l.groups), Calm: l.calm,
+	}
+	for i := range l.groups {
+		v.Demand += l.groups[i].rate
+	}
+	return v
+}
+
 func (l *Level) group(key Priority) *group {
 	at, found := slices.BinarySearchFunc(l.groups, key, func(g group, k Priority) int { return cmp.Compare(g.key, k) })
 	if found {
--- a/pkg/cradmission/table.go
+++ b/pkg/cradmission/table.go
@@ -83,6 +83,22 @@
 	return v.priority
 }
 
+// View returns all valid levels in order of service and server, for dumps.
+func (t *LevelTable) View(now time.Time) []LevelEntry {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]LevelEntry, 0, len(t.levels))
+	for k, v := range t.levels {
+		if age := now.Sub(v.at); age < LevelExpiry {
+			out = append(out, LevelEntry{k.service, k.server, v.priority, age})
+		}
+	}
+	slices.SortFunc(out, func(a, b LevelEntry) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Server, b.Server))
+	})
+	return out
+}
+
 // Admits reports whether a request of priority p may be sent to the service; probes always may.
 func (t *LevelTable) Admits(now time.Time, service string, p Priority) bool {
 	return p.Probe() || p >= t.Level(now, service, "")
@@ -154,6 +170,27 @@
 	shares   []float64
 }
 
+// ReachView is what is known about one kind, for dumps; Shares are parallel to Services.
+type ReachView struct {
+	Kind     string
+	Age      time.Duration
+	Answers  int
+	Services []string
+	Shares   []float64
+}
+
+// View returns all kinds in order of their names.
+func (r *Reach) View(now time.Time) []ReachView {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]ReachView, 0, len(r.kinds))
+	for name, k := range r.kinds {
+		out = append(out, ReachView{name, now.Sub(k.at), k.answers, slices.Clone(k.services), slices.Clone(k.shares)})
+	}
+	slices.SortFunc(out, func(a, b ReachView) int { return cmp.Compare(a.Kind, b.Kind) })
+	return out
+}
+
 // Learn counts one complete answer of a kind (named service/kind by the caller) and the services that its run called.
 // Refusals are not learned: they would make the refusing service look unreached.
 func (r *Reach) Learn(now time.Time, kind string, services []string) {
--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -139,6 +139,29 @@
 	return l.queued
 }
 
+// View is the state of a Limiter, for dumps. Probing tells that the limit is at a trial value; Hung that only timeouts
+// come.
+type View struct {
+	Slots       int
+	Limit       int
+	InFlight    int
+	ServiceTime time.Duration
+	QueueDelay  time.Duration
+	Probing     bool
+	Hung        bool
+}
+
+// View returns the state of the limiter.
+func (l *Limiter) View() View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.limit
+	if limit == 0 {
+		limit = l.clamp(l.Slots)
+	}
+	return View{l.Slots, limit, l.inFlight, l.service, l.queued, l.state.probing, l.good > 0}
+}
+
 // Expected returns the time that a request behind ahead queued ones is expected to need, its own run included.
 func (l *Limiter) Expected(ahead int) time.Duration {
 	l.mu.Lock()
