crrecord, crkeeper: tell present members of releases, change groups independently

Cause: a release that a sealed keeper took could miss the new group epoch and block the id for 15 minutes; one group with an unreachable member held up the hand-over of the others.

--- a/internal/crkeeper/crkeeper.go
+++ b/internal/crkeeper/crkeeper.go
@@ -27,10 +27,11 @@
 	expirePeriod = time.Second
 	// sealPeriod is how long a hand-over waits before it asks the missing members again.
 	sealPeriod = 50 * time.Millisecond
-	// sealTimeout bounds one attempt to fetch a member's records.
-	sealTimeout = 2 * time.Second
+	// sealTimeout bounds one attempt to fetch a member's records, at most 48 MiB; a silent member ends it within 2 s,
+	// since its session ends.
+	sealTimeout = 15 * time.Second
 	// sealParallel bounds the groups that change at once, since each holds a copy of its records.
-	sealParallel = 16
+	sealParallel = 64
 	// handoverPartBytes bounds one part of a hand-over well below the bound of an envelope.
 	handoverPartBytes = 512 << 10
 )
@@ -64,6 +65,7 @@
 
 	mu      sync.Mutex
 	pending map[uint32]*crrecord.Reconfiguration
+	running map[*crrecord.Reconfiguration]bool
 	wake    chan struct{}
 }
 
@@ -81,7 +83,8 @@
 	return k.Core.Stats(), len(k.pending)
 }
 
-// Confirm tells that the configuration was confirmed at now.
+// Confirm tells that the configuration was confirmed; now is the time before the confirmation was asked for, since an
+// answer that arrives late says nothing about the time of its arrival.
 func (k *Keeper) Confirm(now crrecord.Instant) {
 	k.with(func(core *crrecord.Keeper) { core.Confirm(now) })
 }
@@ -146,13 +149,15 @@
 	}
 }
 
-// change hands over groups until none is pending, then waits for the next change.
+// change starts the hand-over of each pending group, and starts it again until it is done.
 func (k *Keeper) change(ctx context.Context) {
 	k.mu.Lock()
 	wake := k.wakeLocked()
 	k.mu.Unlock()
 	tick := time.NewTicker(sealPeriod)
 	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -160,29 +165,37 @@
 		case <-wake:
 		case <-tick.C:
 		}
-		k.changeAll(ctx)
+		for _, r := range k.due() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				k.handOver(ctx, r)
+				k.mu.Lock()
+				delete(k.running, r)
+				k.mu.Unlock()
+			}()
+		}
 	}
 }
 
-func (k *Keeper) changeAll(ctx context.Context) {
+// due returns the hand-overs to start now, so that one with an unreachable member delays no other.
+func (k *Keeper) due() []*crrecord.Reconfiguration {
 	k.mu.Lock()
-	todo := make([]*crrecord.Reconfiguration, 0, len(k.pending))
+	defer k.mu.Unlock()
+	var out []*crrecord.Reconfiguration
 	for _, r := range k.pending {
-		todo = append(todo, r)
-	}
-	k.mu.Unlock()
-	places := make(chan struct{}, sealParallel)
-	var wg sync.WaitGroup
-	for _, r := range todo {
-		places <- struct{}{}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			k.handOver(ctx, r)
-			<-places
-		}()
+		if len(k.running) >= sealParallel {
+			break
+		}
+		if !k.running[r] {
+			if k.running == nil {
+				k.running = make(map[*crrecord.Reconfiguration]bool)
+			}
+			k.running[r] = true
+			out = append(out, r)
+		}
 	}
-	wg.Wait()
+	return out
 }
 
 type sealed struct {
--- a/internal/crkeeper/delivery.go
+++ b/internal/crkeeper/delivery.go
@@ -176,16 +176,15 @@
 func (c *Client) tell(m crrecord.Member, j *job) bool {
 	if c.isLocal(m) {
 		if !j.complete {
-			c.Local.with(func(core *crrecord.Keeper) { core.Release(j.grant.ID, j.grant.Token) })
-			return true
+			return settled(c.Local.release(j.grant.ID, j.grant.Token))
 		}
 		return settled(c.Local.complete(crrecord.Completion{ID: j.grant.ID, Digest: j.grant.Digest, Token: j.grant.Token, Answer: j.answer}))
 	}
 	if !j.complete {
-		_, err := call[crwire.RecordReply](c, m, methodRelease, &crwire.RecordRelease{
+		resp, err := call[crwire.RecordReply](c, m, methodRelease, &crwire.RecordRelease{
 			TargetIncarnation: m.Incarnation, Id: j.grant.ID.String(), Token: uint64(j.grant.Token),
 		}, deliveryTimeout)
-		return err == nil
+		return err == nil && settled(crrecord.Status(resp.GetStatus()))
 	}
 	resp, err := call[crwire.RecordReply](c, m, methodComplete, &crwire.RecordComplete{
 		TargetIncarnation: m.Incarnation, Id: j.grant.ID.String(), Digest: j.grant.Digest[:],
@@ -194,10 +193,11 @@
 	return err == nil && settled(crrecord.Status(resp.GetStatus()))
 }
 
-// settled reports whether a completion needs no repetition at the member that gave the status.
+// settled reports whether the member that gave the status needs no repetition. A sealed member's WrongEpoch doesn't
+// settle, so a gate that hasn't heard of the new group epoch goes on until it has.
 func settled(s crrecord.Status) bool {
 	switch s {
-	case crrecord.Done, crrecord.TooOld, crrecord.Full:
+	case crrecord.Done, crrecord.Released, crrecord.TooOld, crrecord.Full:
 		return true
 	}
 	return false
--- a/internal/crkeeper/handlers.go
+++ b/internal/crkeeper/handlers.go
@@ -86,8 +86,12 @@
 	if err != nil {
 		return nil, err
 	}
-	k.with(func(core *crrecord.Keeper) { core.Release(id, crrecord.Token(req.GetToken())) })
-	return &crwire.RecordReply{Status: uint32(crrecord.Released)}, nil
+	return &crwire.RecordReply{Status: uint32(k.release(id, crrecord.Token(req.GetToken())))}, nil
+}
+
+func (k *Keeper) release(id crrecord.ID, t crrecord.Token) (s crrecord.Status) {
+	k.with(func(core *crrecord.Keeper) { s = core.Release(id, t) })
+	return s
 }
 
 func (k *Keeper) onTake(_ context.Context, _ *crwire.Session, req *crwire.RecordTake) (*crwire.RecordTaken, error) {
--- a/pkg/crrecord/assign.go
+++ b/pkg/crrecord/assign.go
@@ -178,6 +178,15 @@
 	heap.Fix(p.domains[pl.member.Domain], pl.at)
 }
 
+// least returns the load of the least loaded place.
+func (p *placement) least() int {
+	least := Groups
+	for _, name := range p.names {
+		least = min(least, (*p.domains[name])[0].load)
+	}
+	return least
+}
+
 // best returns the least loaded place that is no member; newDomain asks for a domain without members.
 func (p *placement) best(members []Member, newDomain bool) *place {
 	var best *place
@@ -246,9 +255,14 @@
 				return i, pl
 			}
 		}
+		// A difference of less than a quarter isn't worth a hand-over. The search for a place reads whole domains, so
+		// it is left out when even the least loaded node gives no such difference.
+		load := p.places[keyOf(m)].load
+		if least := p.least(); load <= least+max(1, least/4) {
+			continue
+		}
 		pl := p.best(members, false)
-		// A difference of less than a quarter isn't worth a hand-over.
-		if pl == nil || p.places[keyOf(m)].load <= pl.load+max(1, pl.load/4) {
+		if pl == nil || load <= pl.load+max(1, pl.load/4) {
 			continue
 		}
 		free := !slices.ContainsFunc(others, func(o Member) bool { return o.Domain == pl.member.Domain })
--- a/pkg/crrecord/keeper.go
+++ b/pkg/crrecord/keeper.go
@@ -74,7 +74,7 @@
 	return s
 }
 
-// Confirm tells the keeper that its configuration was confirmed at now.
+// Confirm tells the keeper that its configuration was confirmed; now is the time before the confirmation was asked for.
 func (k *Keeper) Confirm(now Instant) { k.confirmed = max(k.confirmed, now.Elapsed) }
 
 // Claim asks the keeper to hold an id for a token.
@@ -226,20 +226,23 @@
 }
 
 // Release gives up a claim whose token never ran and never will; it is taken in every group epoch.
-func (k *Keeper) Release(id ID, token Token) {
+// The result is Released, or WrongEpoch when the present members must be told as well.
+func (k *Keeper) Release(id ID, token Token) Status {
 	k.tombstone(token)
 	g := k.groups[id.Group()]
 	if g == nil {
-		return
+		return Released
 	}
-	r := g.records[id.String()]
-	if r == nil || r.done {
-		return
+	if r := g.records[id.String()]; r != nil && !r.done {
+		r.holders = slices.DeleteFunc(r.holders, func(h holder) bool { return h.token == token })
+		if len(r.holders) == 0 && len(r.slots) == 0 {
+			k.remove(g, r)
+		}
 	}
-	r.holders = slices.DeleteFunc(r.holders, func(h holder) bool { return h.token == token })
-	if len(r.holders) == 0 && len(r.slots) == 0 {
-		k.remove(g, r)
+	if !g.current() {
+		return WrongEpoch
 	}
+	return Released
 }
 
 func (k *Keeper) tombstone(t Token) {
