--- /dev/null
+++ b/internal/cradmin/cradmin.go
@@ -0,0 +1,82 @@
+// Package cradmin serves the admin port of a process: expvar counters and a dump of its state, both as JSON.
+package cradmin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Dumper returns the state of a process as a value that encodes to JSON with snake_case keys and holds no secret.
+type Dumper interface {
+	Dump(now time.Time) any
+}
+
+// readHeaderTimeout keeps idle strangers from holding connections.
+const readHeaderTimeout = 2 * time.Second
+
+// Admin is the HTTP server of the admin port.
+type Admin struct {
+	Dumper   Dumper
+	Counters *Counters
+}
+
+// Handler returns the mux of the admin port: GET /debug/vars and GET /v1/dump.
+func (a *Admin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(a.Counters.String() + "\n"))
+	})
+	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(a.Dumper.Dump(time.Now()))
+	})
+	return mux
+}
+
+// Serve answers on ln until ctx ends, then finishes the requests in flight.
+func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		grace, cancel := context.WithTimeout(context.Background(), readHeaderTimeout)
+		defer cancel()
+		_ = srv.Shutdown(grace)
+	})
+	defer stop()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Counters is a set of named expvar counters that belongs to one component, so that several can live in one process.
+type Counters struct {
+	vars expvar.Map
+}
+
+// Add adds delta to the counter called name.
+func (c *Counters) Add(name string, delta int64) { c.vars.Add(name, delta) }
+
+// Gauge registers a value that is computed when the counters are read.
+func (c *Counters) Gauge(name string, f func() any) { c.vars.Set(name, expvar.Func(f)) }
+
+// Value returns the counter called name, 0 when it was never added to.
+func (c *Counters) Value(name string) int64 {
+	if v, ok := c.vars.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// String returns the counters as a JSON object.
+func (c *Counters) String() string { return c.vars.String() }
+
+// Publish adds the counters to the process-wide expvar list under name; call it once for each name.
+func (c *Counters) Publish(name string) { expvar.Publish(name, &c.vars) }
--- /dev/null
+++ b/internal/cradmin/log.go
@@ -0,0 +1,18 @@
+package cradmin
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// NewLogger returns a logfmt logger with UTC time stamps; logLevel is "info" or "debug".
+func NewLogger(w io.Writer, logLevel string) log.Logger {
+	l := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	allow := level.AllowInfo()
+	if logLevel == "debug" {
+		allow = level.AllowDebug()
+	}
+	return log.With(level.NewFilter(l, allow), "ts", log.DefaultTimestampUTC)
+}
--- /dev/null
+++ b/internal/crcli/crcli.go
@@ -0,0 +1,67 @@
+// Package crcli is the command tree of the program, one file for each command.
+package crcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// streams are the standard streams of the process.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+// exitError ends the program with a code after its message was printed.
+type exitError struct{ code int }
+
+func (e exitError) Error() string { return fmt.Sprintf("exit %d", e.code) }
+
+// Main runs the program and returns its exit code.
+func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s := streams{in: in, out: out, err: errOut}
+	err := root(s).Run(ctx, args)
+	var exit exitError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &exit):
+		return exit.code
+	}
+	_, _ = fmt.Fprintln(errOut, "citronramp:", err)
+	return exitUsage
+}
+
+func root(s streams) *cli.Command {
+	return &cli.Command{
+		Name:            "citronramp",
+		Usage:           "overload control for deep service call graphs",
+		Description:     "Start with \"citronramp demo\". To run a service for real see README.md, for operators docs/operators.md.",
+		Writer:          s.out,
+		ErrWriter:       s.err,
+		HideHelpCommand: true,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			nodeCommand(s), controlCommand(s), checkCommand(s), dumpCommand(s), ctlCommand(s), demoCommand(s), benchCommand(s),
+		},
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "`FILE` with the settings in TOML", Required: true}
+}
--- /dev/null
+++ b/internal/crcli/run.go
@@ -0,0 +1,104 @@
+package crcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/citronramp/citronramp/internal/cradmin"
+	"github.com/citronramp/citronramp/internal/crcontrol"
+	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/internal/crsettings"
+)
+
+func nodeCommand(s streams) *cli.Command {
+	return &cli.Command{
+		Name:        "node",
+		Usage:       "run the node beside a backend server",
+		Description: "Stops gracefully on SIGTERM or SIGINT: exit 0 when no request was cut off, 1 otherwise.",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			set, logger, err := load(s, c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if set.Node == nil {
+				return errors.New("the settings file has no [node] table")
+			}
+			ln, err := listenAll(set.Node.Listen, set.Node.Inner, set.Node.Admin)
+			if err != nil {
+				return err
+			}
+			n := &crnode.Node{Settings: *set.Node, Callers: ln[0], Inner: ln[1], Admin: ln[2], Logger: logger}
+			n.Counters.Publish("citronramp")
+			return stopped(s, n.Run(ctx))
+		},
+	}
+}
+
+func controlCommand(s streams) *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "run a control instance",
+		Description: "The first start of a new cluster needs --new-cluster on each first member, and only then: an instance with an empty\n" +
+			"data folder that starts without it waits until an operator adds it.",
+		Flags: []cli.Flag{settingsFlag(), &cli.BoolFlag{Name: "new-cluster", Usage: "start a new log when the data folder is empty"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			set, logger, err := load(s, c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if set.Control == nil {
+				return errors.New("the settings file has no [control] table")
+			}
+			ln, err := listenAll(set.Control.Inner, set.Control.Operator, set.Control.Admin)
+			if err != nil {
+				return err
+			}
+			ctl := &crcontrol.Control{
+				Settings: *set.Control, Inner: ln[0], Operator: ln[1], Admin: ln[2], Logger: logger, NewCluster: c.Bool("new-cluster"),
+			}
+			ctl.Counters.Publish("citronramp")
+			return stopped(s, ctl.Run(ctx))
+		},
+	}
+}
+
+// load reads the settings and makes the logger; faults are printed one on a line.
+func load(s streams, path string) (*crsettings.Settings, log.Logger, error) {
+	set, err := crsettings.Load(path)
+	if err != nil {
+		_, _ = fmt.Fprintln(s.err, err)
+		return nil, nil, exitError{exitFailed}
+	}
+	return set, cradmin.NewLogger(s.err, set.LogLevel), nil
+}
+
+// listenAll opens the listeners of a process before any part of it runs.
+func listenAll(addrs ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, a := range addrs {
+		ln, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range out {
+				_ = open.Close()
+			}
+			return nil, fmt.Errorf("cannot listen on %s; another process may use it: %w", a, err)
+		}
+		out = append(out, ln)
+	}
+	return out, nil
+}
+
+// stopped turns the end of a process into its exit code.
+func stopped(s streams, err error) error {
+	if err == nil {
+		return nil
+	}
+	_, _ = fmt.Fprintln(s.err, "citronramp:", err)
+	return exitError{exitFailed}
+}
--- a/internal/crconfig/bench_test.go
+++ b/internal/crconfig/bench_test.go
@@ -88,7 +88,7 @@
 	})
 	b.Run("entries", func(b *testing.B) {
 		for b.Loop() {
-			crconfig.Digest(entries)
+			crconfig.ViewDigest(entries)
 		}
 	})
 }
--- a/internal/crconfig/decode.go
+++ b/internal/crconfig/decode.go
@@ -94,3 +94,16 @@
 	n, err := strconv.ParseUint(strings.TrimPrefix(key, "group/"), 10, 32)
 	return uint32(n), err == nil && n < MaxGroups
 }
+
+// GroupOf returns the keeper group that an entry holds.
+func GroupOf(e *crwire.ConfigEntry) (*crwire.KeeperGroup, error) {
+	m, err := decode(e)
+	if err != nil {
+		return nil, err
+	}
+	g, ok := m.(*crwire.KeeperGroup)
+	if !ok {
+		return nil, malformed(e, "it is no keeper group")
+	}
+	return g, nil
+}
--- a/internal/crconfig/view_test.go
+++ b/internal/crconfig/view_test.go
@@ -65,7 +65,7 @@
 			}
 			old = r.Version()
 			whole, _ := r.Entries(crconfig.Version{}, services)
-			if led.Digest() != r.Digest(services) || led.Digest() != crconfig.Digest(whole) || len(led.Entries()) != len(whole) {
+			if led.Digest() != r.Digest(services) || led.Digest() != crconfig.ViewDigest(whole) || len(led.Entries()) != len(whole) {
 				t.Fatalf("the view differs at %s", old)
 			}
 		}
--- /dev/null
+++ b/internal/crcontrol/progress.go
@@ -0,0 +1,95 @@
+package crcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crconfig"
+	"github.com/citronramp/citronramp/internal/crwire"
+)
+
+// progressGrace is the time that another control instance has to answer beyond the wait itself.
+const progressGrace = time.Second
+
+// progress counts the nodes on which a version is in force.
+type progress struct {
+	nodes, inForce int
+	minimum        crconfig.Version
+	behind         []string
+	// unreached counts control instances that did not answer.
+	unreached int
+}
+
+func (p *progress) add(o progress) {
+	if o.nodes > 0 && (p.nodes == 0 || o.minimum.Less(p.minimum)) {
+		p.minimum = o.minimum
+	}
+	p.nodes += o.nodes
+	p.inForce += o.inForce
+	p.behind = append(p.behind, o.behind...)
+	p.unreached += o.unreached
+}
+
+// localProgress waits at most wait and returns the progress below this instance.
+func (c *Control) localProgress(ctx context.Context, v crconfig.Version, wait time.Duration) progress {
+	if wait > 0 {
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		// The progress below tells whether it is in force, and names the nodes if not.
+		_ = c.root.WaitInForce(ctx, v)
+	}
+	st := c.root.Status().Progress
+	p := progress{nodes: st.Nodes, inForce: st.Nodes, minimum: st.Minimum}
+	if st.Minimum.Less(v) {
+		behind := st.LaggingMore
+		for _, l := range st.Lagging {
+			if l.Version.Less(v) {
+				behind++
+				p.behind = append(p.behind, l.Name)
+			}
+		}
+		p.inForce = max(p.nodes-behind, 0)
+	}
+	return p
+}
+
+// progress asks all control instances at one time, since each is the root of a part of the nodes.
+func (c *Control) progress(ctx context.Context, v crconfig.Version, wait time.Duration) progress {
+	peers := c.otherInstances()
+	results := make(chan progress, len(peers))
+	for _, addr := range peers {
+		go func() { results <- c.remoteProgress(ctx, addr, v, wait) }()
+	}
+	total := c.localProgress(ctx, v, wait)
+	for range peers {
+		total.add(<-results)
+	}
+	return total
+}
+
+func (c *Control) remoteProgress(ctx context.Context, addr string, v crconfig.Version, wait time.Duration) progress {
+	ctx, cancel := context.WithTimeout(ctx, wait+progressGrace)
+	defer cancel()
+	s, err := c.endpoint.Session(ctx, addr)
+	if err != nil {
+		return progress{unreached: 1}
+	}
+	resp, err := crwire.Call[crwire.ProgressResponse](ctx, s, methodProgress, &crwire.ProgressRequest{Version: v.Wire(), WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return progress{unreached: 1}
+	}
+	return progress{
+		nodes: int(resp.GetNodes()), inForce: int(resp.GetInForce()), minimum: crconfig.VersionOf(resp.GetMinimum()), behind: resp.GetBehind(),
+	}
+}
+
+// otherInstances returns the inner addresses of the other members of the log.
+func (c *Control) otherInstances() []string {
+	var out []string
+	for _, m := range c.replica.Status().Members {
+		if m.ID != c.replica.ID {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/crcontrol/query.go
@@ -0,0 +1,160 @@
+package crcontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crconfig"
+	"github.com/citronramp/citronramp/internal/crlang"
+	"github.com/citronramp/citronramp/internal/crprint"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlog"
+)
+
+// query answers a command that changes nothing.
+func (c *Control) query(ctx context.Context, cmd crlang.Command) (crprint.Answer, error) {
+	switch x := cmd.(type) {
+	case crlang.Help:
+		return crprint.HelpOf(x.Word), nil
+	case crlang.Wait:
+		return c.wait(ctx, x)
+	case crlang.Show:
+		if x.Topic == crlang.Leader {
+			return c.leader(), nil
+		}
+		// A read index makes sure that no newer change was accepted elsewhere.
+		readCtx, cancel := context.WithTimeout(ctx, commandTimeout)
+		defer cancel()
+		if _, err := c.replica.ReadIndex(readCtx); err != nil {
+			return nil, crcode.New(crcode.NoLeader, "the state is not confirmed: %v", err)
+		}
+		return c.show(ctx, x)
+	}
+	return nil, crcode.New(crcode.UnknownCommand, "%s", cmd)
+}
+
+func (c *Control) show(ctx context.Context, x crlang.Show) (a crprint.Answer, err error) {
+	switch x.Topic {
+	case crlang.Members:
+		return c.members(), nil
+	case crlang.Servers:
+		return c.servers(x.Service), nil
+	case crlang.Shedding:
+		return c.shedding(ctx, x.Service), nil
+	case crlang.Spread:
+		return c.spread(ctx, x.Version), nil
+	}
+	c.machine.read(func(s *crconfig.State) {
+		switch x.Topic {
+		case crlang.Services:
+			a = crprint.ServicesOf(s)
+		case crlang.Kinds:
+			a = crprint.KindsOf(s, x.Service)
+		case crlang.Convictions:
+			a = crprint.ConvictionsOf(s, x.Service, x.Since, time.Now())
+		case crlang.Versions:
+			age, confirmed := c.confirm.age()
+			a = crprint.Version{Version: s.Version(), Confirmed: confirmed, AgeMS: age.Milliseconds()}
+		default:
+			err = crcode.New(crcode.UnknownCommand, "%s", x)
+		}
+	})
+	return a, err
+}
+
+// leader tells who is in charge as far as this instance knows.
+func (c *Control) leader() crprint.Leader {
+	st := c.replica.Status()
+	out := crprint.Leader{Term: st.Term, Address: st.LeaderAddress, Voters: len(st.Members.Voters())}
+	if st.Leads {
+		out.LeaseMS = st.Lease.Milliseconds()
+	}
+	for _, m := range st.Members {
+		if m.ID == st.Leader && st.Leader != 0 {
+			out.Name = m.Name
+		}
+	}
+	if st.Leads {
+		for _, f := range st.Followers {
+			if f.Contact < reachableWithin {
+				out.Reachable++
+			}
+		}
+		out.Reachable++
+	}
+	return out
+}
+
+// reachableWithin is how recent the last message of a member must be for it to count as reachable.
+const reachableWithin = 2 * time.Second
+
+func (c *Control) members() crprint.Members {
+	st := c.replica.Status()
+	var out crprint.Members
+	for _, m := range st.Members {
+		role := "voter"
+		if m.Learner {
+			role = "learner"
+		}
+		row := crprint.Member{Name: m.Name, Address: m.Address, Role: role, Leader: m.ID == st.Leader, Match: st.Last}
+		if i := slices.IndexFunc(st.Followers, func(f crlog.FollowerStatus) bool { return f.ID == m.ID }); i >= 0 {
+			row.Match, row.ContactMS = st.Followers[i].Match, st.Followers[i].Contact.Milliseconds()
+		}
+		out.Members = append(out.Members, row)
+	}
+	return out
+}
+
+// serverStates are the states of the directory by number.
+var serverStates = map[uint32]string{1: "starting", 2: "serving", 3: "leaving"}
+
+func (c *Control) servers(service string) crprint.Servers {
+	entries, _ := c.directory.Members()
+	var drained map[string]bool
+	c.machine.read(func(s *crconfig.State) { drained = crprint.DrainedOf(s) })
+	var out crprint.Servers
+	for _, e := range entries {
+		if e.GetService() == "" || service != "" && e.GetService() != service {
+			continue
+		}
+		state := serverStates[e.GetState()]
+		if e.GetSuspect() {
+			state = "suspect"
+		}
+		out.Servers = append(out.Servers, crprint.Server{
+			Node: e.GetNode(), Service: e.GetService(), Address: e.GetAddress(), Domain: e.GetDomain(), State: state, Drained: drained[e.GetNode()],
+		})
+	}
+	return out
+}
+
+// spread tells how far a version, the latest when v is nil, is in force on the nodes below all control instances.
+func (c *Control) spread(ctx context.Context, v *crconfig.Version) crprint.Spread {
+	version := c.machine.Version()
+	if v != nil {
+		version = *v
+	}
+	p := c.progress(ctx, version, 0)
+	return crprint.Spread{Version: version, Nodes: p.nodes, InForce: p.inForce, Minimum: p.minimum, Behind: p.behind}
+}
+
+// wait returns when a version is in force on every node, or when the timeout is over.
+func (c *Control) wait(ctx context.Context, x crlang.Wait) (crprint.Answer, error) {
+	if c.machine.Version().Less(x.Version) {
+		return nil, crcode.New(crcode.NotFound, "version %s was not accepted; the latest is %s", x.Version, c.machine.Version())
+	}
+	start := time.Now()
+	p := c.progress(ctx, x.Version, x.Timeout)
+	return crprint.Waited{
+		Version: x.Version, Done: p.nodes == p.inForce && p.unreached == 0, ElapsedMS: time.Since(start).Milliseconds(),
+		Nodes: p.nodes, InForce: p.inForce, Behind: p.behind,
+	}, nil
+}
+
+// handleProgress tells another control instance about the nodes below this one.
+func (c *Control) handleProgress(ctx context.Context, _ *crwire.Session, req *crwire.ProgressRequest) (*crwire.ProgressResponse, error) {
+	p := c.localProgress(ctx, crconfig.VersionOf(req.GetVersion()), time.Duration(req.GetWaitMs())*time.Millisecond)
+	return &crwire.ProgressResponse{Nodes: uint32(p.nodes), InForce: uint32(p.inForce), Minimum: p.minimum.Wire(), Behind: p.behind}, nil
+}
--- /dev/null
+++ b/internal/crnode/crnode.go
@@ -0,0 +1,187 @@
+// Package crnode is the node beside a backend server: the entrance for callers, the gate in front of the backend server,
+// the way out for its deeper calls, a relay of the configuration and a keeper of records.
+package crnode
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronramp/citronramp/internal/cradmin"
+	"github.com/citronramp/citronramp/internal/crconfig"
+	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crkeeper"
+	"github.com/citronramp/citronramp/internal/crring"
+	"github.com/citronramp/citronramp/internal/crsettings"
+	"github.com/citronramp/citronramp/internal/crspread"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crbudget"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crquarantine"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// tickInterval is how often the gate removes expired requests.
+const tickInterval = 10 * time.Millisecond
+
+// maxConvictions bounds the convictions that wait for a control instance.
+const maxConvictions = 256
+
+// Node is one node process; set the exported fields, then call Run once.
+type Node struct {
+	Settings crsettings.Node
+	// Callers, Inner and Admin are the listeners for the addresses in the settings.
+	Callers, Inner, Admin net.Listener
+	Logger                log.Logger
+	// Incarnation changes each time the node starts; it is a fresh one when it is empty.
+	Incarnation string
+	Policy      Policy
+	Counters    cradmin.Counters
+
+	endpoint   *crwire.Endpoint
+	view       *crconfig.View
+	gate       gate
+	backend    *backend
+	lease      lease
+	executions executions
+	places     cradmission.Places
+	shedKinds  shedCounts
+	work       workCount
+	arrivals   *crbudget.HomeCounter
+	levels     *cradmission.LevelTable
+	reach      *cradmission.Reach
+
+	clock     crkeeper.Clock
+	claims    claims
+	directory *crdirectory.Client
+	spread    *crspread.Node
+	// convictions wait until a control instance has recorded them.
+	convictions *crring.Ring[crquarantine.Fingerprint]
+
+	crashMu         sync.Mutex
+	quarantine      crquarantine.Tracker
+	crashedInstance string
+
+	servicesMu sync.Mutex
+	services   map[string]*service
+	watched    map[string]bool
+	// covered is the part of watched that the view covers; changed is closed and replaced at each update.
+	covered        map[string]bool
+	changed        chan struct{}
+	lookups        lookupRate
+	otherEntrances []string
+
+	rndMu sync.Mutex
+	rnd   *rand.Rand
+
+	initOnce sync.Once
+}
+
+// init makes the parts that need no network; it runs before the first use of the node.
+func (n *Node) init() {
+	n.initOnce.Do(func() {
+		if n.Incarnation == "" {
+			n.Incarnation = fmt.Sprintf("%08x", rand.Uint32())
+		}
+		n.view = crconfig.NewView()
+		n.backend = newBackend(n.Settings.MaxBodyBytes)
+		n.places.Size = n.Settings.MaxRequests
+		n.arrivals = &crbudget.HomeCounter{}
+		n.levels = &cradmission.LevelTable{}
+		n.reach = &cradmission.Reach{}
+		n.services = make(map[string]*service)
+		n.watched = map[string]bool{n.Settings.Service: true}
+		n.covered = make(map[string]bool)
+		n.changed = make(chan struct{})
+		n.convictions = crring.New[crquarantine.Fingerprint](maxConvictions)
+		n.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		n.gate = n.newGate()
+		n.clock = crkeeper.NewClock()
+		n.quarantine.Server = n.Settings.Name
+	})
+}
+
+// initialSlots is the limit until the backend server announces its slots.
+const initialSlots = 8
+
+func (n *Node) newGate() gate {
+	switch n.Policy {
+	case NoControl:
+		return openGate{}
+	case FixedLimit:
+		return newFixedGate(initialSlots, n.Settings.QueueTime)
+	}
+	return newAdaptiveGate(initialSlots, n.Settings.QueueLength, n.Settings.QueueTime)
+}
+
+// Prefix returns the first part of the ids that this node makes.
+func (n *Node) Prefix() string {
+	n.init()
+	return n.Settings.Name + "-" + n.Incarnation
+}
+
+func (n *Node) innerAddress() string { return n.Settings.Inner }
+
+// newID returns a fresh request id.
+func (n *Node) newID(now time.Time) crrecord.ID {
+	n.rndMu.Lock()
+	defer n.rndMu.Unlock()
+	return crrecord.NewID(n.Prefix(), now.UnixMilli(), n.rnd.Uint64())
+}
+
+// Run serves until ctx ends, then stops gracefully; the error tells what was cut off.
+func (n *Node) Run(ctx context.Context) error {
+	n.init()
+	n.gauges()
+	p, err := n.start()
+	if err != nil {
+		return err
+	}
+	_ = level.Info(n.Logger).Log("msg", "node started", "name", n.Settings.Name, "incarnation", n.Incarnation, "listen", n.Callers.Addr(), "inner", n.Inner.Addr())
+	<-ctx.Done()
+	left := n.drain(p)
+	p.stop()
+	_ = level.Info(n.Logger).Log("msg", "node stopped", "name", n.Settings.Name, "cut_off", left)
+	if left > 0 {
+		return crcode.New(crcode.Stopping, "%d requests were cut off after %s", left, n.Settings.StopTimeout)
+	}
+	return nil
+}
+
+// drain tells the others that this node leaves, refuses new requests and waits for those in flight.
+func (n *Node) drain(p *parts) int {
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopTimeout)
+	defer cancel()
+	p.leave(ctx)
+	return n.work.stop(ctx)
+}
+
+// tickLoop removes expired requests from the queue and lets levels and holds end.
+func (n *Node) tickLoop(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.tick(time.Now())
+		}
+	}
+}
+
+func (n *Node) tick(now time.Time) {
+	n.gate.tick(now)
+	n.servicesMu.Lock()
+	defer n.servicesMu.Unlock()
+	for _, s := range n.services {
+		s.tick(now)
+	}
+}
--- /dev/null
+++ b/internal/crnode/entrance.go
@@ -0,0 +1,163 @@
+package crnode
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// serveHTTPCall takes a call from an outside caller or from the backend server beside this node.
+func (n *Node) serveHTTPCall(w http.ResponseWriter, r *http.Request) {
+	h, err := parseHeaders(r.Header)
+	if err != nil {
+		writeAnswer(w, "", refusalOf(err))
+		return
+	}
+	if h.token != "" {
+		// A deeper call belongs to a run in flight, which a stopping node still waits for.
+		n.deeperCall(w, r, h)
+		return
+	}
+	if !n.work.begin() {
+		writeAnswer(w, h.id, refusal(crcode.Stopping, ""))
+		return
+	}
+	defer n.work.end()
+	n.rootCall(w, r, h)
+}
+
+// rootCall runs the request of an outside caller; the body is read only after admission.
+func (n *Node) rootCall(w http.ResponseWriter, r *http.Request, h callHeaders) {
+	now := time.Now()
+	n.Counters.Add("requests", 1)
+	kind, err := n.findKind(r.Context(), r.PathValue("service"), r.PathValue("kind"))
+	if err != nil {
+		writeAnswer(w, h.id, refusalOf(err))
+		return
+	}
+	id, err := n.requestID(now, h.id, kind)
+	if err != nil {
+		writeAnswer(w, h.id, refusalOf(err))
+		return
+	}
+	c := outcall{
+		id: id.String(), rootID: id.String(), kind: kind, priority: kind.priority(id.String()), contentType: h.contentType,
+		deadline: now.Add(shorter(h.deadline, kind.Deadline())),
+	}
+	a := n.admitted(w, r, id, c)
+	n.Counters.Add("answers_"+a.code.Outcome().String(), 1)
+	if a.code == crcode.Overloaded || a.code == crcode.QueueTimeout {
+		n.shedKinds.add(now, kind.Service(), kind.Name())
+	}
+	writeAnswer(w, c.id, a)
+}
+
+func shorter(asked, most time.Duration) time.Duration {
+	if asked > 0 && asked < most {
+		return asked
+	}
+	return most
+}
+
+// admitted takes a place at the entrance, reads the body, counts the arrival and makes the call.
+func (n *Node) admitted(w http.ResponseWriter, r *http.Request, id crrecord.ID, c outcall) answer {
+	if !n.places.Take(c.priority.Class()) {
+		return n.shed(c.priority, 0, "the entrance is full")
+	}
+	defer n.places.Give(c.priority.Class())
+	if a, refused := n.refusedBelow(time.Now(), c); refused {
+		return a
+	}
+	body, err := n.readBody(w, r, c.deadline)
+	if err != nil {
+		return refusalOf(err)
+	}
+	c.body = body
+	holder, a, ok := n.arrive(r.Context(), id, c)
+	if !ok {
+		return a
+	}
+	c.holder = holder
+	return n.call(r.Context(), c)
+}
+
+// readBody reads the whole body in time and within the size bound.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
+	if r.ContentLength > int64(n.Settings.MaxBodyBytes) {
+		return nil, crcode.New(crcode.BodyTooLarge, "%d bytes, at most %d", r.ContentLength, n.Settings.MaxBodyBytes)
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(n.Settings.MaxBodyBytes)))
+	if err != nil {
+		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+			return nil, crcode.New(crcode.BodyTooLarge, "at most %d bytes", n.Settings.MaxBodyBytes)
+		}
+		return nil, crcode.New(crcode.BadRequest, "the body ended early")
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// requestID checks the caller's id, or makes one for a kind that may be repeated.
+func (n *Node) requestID(now time.Time, text string, kind kindInfo) (crrecord.ID, error) {
+	if text == "" {
+		if !kind.Repeatable() {
+			return crrecord.ID{}, crcode.New(crcode.MissingID, "")
+		}
+		return n.newID(now), nil
+	}
+	id, err := crrecord.ParseID(text)
+	if err != nil {
+		return crrecord.ID{}, err
+	}
+	if id.Root() != id {
+		return crrecord.ID{}, crcode.New(crcode.BadID, "a caller's id has no key")
+	}
+	if id.CreatedMS() > now.Add(crrecord.MaxFuture).UnixMilli() {
+		return crrecord.ID{}, crcode.New(crcode.IDFromFuture, "")
+	}
+	return id, nil
+}
+
+// deeperCall runs a call that the backend server beside this node makes for a request that it runs.
+func (n *Node) deeperCall(w http.ResponseWriter, r *http.Request, h callHeaders) {
+	e, ok := n.executions.find(h.token)
+	if !ok {
+		writeAnswer(w, "", refusal(crcode.BadContext, ""))
+		return
+	}
+	kind, err := n.findKind(r.Context(), r.PathValue("service"), r.PathValue("kind"))
+	if err != nil {
+		writeAnswer(w, "", refusalOf(err))
+		return
+	}
+	c := outcall{
+		rootID: e.rootID, kind: kind, priority: e.priority, holder: e.holder, depth: e.depth + 1, contentType: h.contentType,
+		deadline: earlier(e.deadline, time.Now().Add(shorter(h.deadline, kind.Deadline()))),
+	}
+	if c.id, err = e.deeperID(h, kind); err != nil {
+		writeAnswer(w, "", refusalOf(err))
+		return
+	}
+	if c.body, err = n.readBody(w, r, c.deadline); err != nil {
+		writeAnswer(w, c.id, refusalOf(err))
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(e.ctx, cancel)()
+	a := n.call(ctx, c)
+	e.reach(append(a.reached, kind.Service())...)
+	writeAnswer(w, c.id, a)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/crnode/gate.go
@@ -0,0 +1,163 @@
+package crnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlimiter"
+)
+
+// gate decides which requests reach the backend server beside this node, and when.
+type gate interface {
+	// enter waits for a place; the returned function gives it back. A refusal means that nothing was run.
+	enter(ctx context.Context, p cradmission.Priority, deadline time.Time) (leave func(crlimiter.Sample), err error)
+	// feedback returns the load for answers.
+	feedback() crFeedback
+	// tick removes expired requests and lets the level fall when there is no traffic.
+	tick(now time.Time)
+	// announce takes the slots that the backend server announced.
+	announce(now time.Time, slots int)
+}
+
+// crFeedback is the load of a gate as it stands on answers and in the dump.
+type crFeedback struct {
+	InFlight    int
+	Limit       int
+	Queued      int
+	Level       cradmission.Priority
+	ServiceTime time.Duration
+	Pressure    float64
+}
+
+// verdict is what a waiting request is told: run, or the refusal.
+type verdict struct{ err error }
+
+// adaptiveGate orders requests by priority, adapts the concurrency limit and sheds below a level.
+type adaptiveGate struct {
+	limiter *crlimiter.Limiter
+	queue   *cradmission.Queue
+	level   *cradmission.Level
+	// maxWait bounds the time in the queue.
+	maxWait time.Duration
+
+	mu  sync.Mutex
+	rnd *rand.Rand
+}
+
+func newAdaptiveGate(slots, queueLength int, maxWait time.Duration) *adaptiveGate {
+	return &adaptiveGate{
+		limiter: &crlimiter.Limiter{Slots: slots},
+		queue:   &cradmission.Queue{Length: queueLength, MaxWait: maxWait},
+		level:   &cradmission.Level{},
+		maxWait: maxWait,
+		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+func (g *adaptiveGate) enter(ctx context.Context, p cradmission.Priority, deadline time.Time) (func(crlimiter.Sample), error) {
+	now := time.Now()
+	if !g.level.Arrive(now, p) {
+		return nil, g.overloaded(p, "below the level of this server")
+	}
+	if need := g.limiter.Expected(g.queue.Ahead(p)); now.Add(need).After(deadline) {
+		return nil, crcode.New(crcode.DeadlineExpired, "%s left, %s expected", deadline.Sub(now).Round(time.Millisecond), need.Round(time.Millisecond))
+	}
+	item := &cradmission.Item{Priority: p, Deadline: deadline, Value: make(chan verdict, 1)}
+	g.mu.Lock()
+	refused := g.queue.Push(now, item)
+	g.admit(now)
+	g.mu.Unlock()
+	if refused != nil {
+		answerItem(refused, verdict{g.overloaded(refused.Priority, "the queue is full")})
+	}
+	return g.wait(ctx, item, now)
+}
+
+func answerItem(it *cradmission.Item, v verdict) {
+	if ch, ok := it.Value.(chan verdict); ok {
+		ch <- v
+	}
+}
+
+// admit starts waiting requests while there are places; the caller holds the lock.
+func (g *adaptiveGate) admit(now time.Time) {
+	for g.limiter.InFlight() < g.limiter.Limit() {
+		it, ok := g.queue.Pop(now)
+		if !ok {
+			return
+		}
+		g.limiter.Acquire(now)
+		g.level.Waited(now, it.Wait(now))
+		answerItem(it, verdict{})
+	}
+}
+
+func (g *adaptiveGate) wait(ctx context.Context, item *cradmission.Item, queued time.Time) (func(crlimiter.Sample), error) {
+	ch, _ := item.Value.(chan verdict)
+	select {
+	case v := <-ch:
+		return g.entered(v, queued)
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	waiting := g.queue.Remove(item)
+	g.mu.Unlock()
+	if !waiting {
+		// The verdict was given at the same time; a granted place must be used or given back.
+		leave, err := g.entered(<-ch, queued)
+		if err == nil {
+			leave(crlimiter.Sample{Result: crlimiter.Cancelled})
+		}
+	}
+	return nil, crcode.New(crcode.Cancelled, "while waiting for a place")
+}
+
+func (g *adaptiveGate) entered(v verdict, queued time.Time) (func(crlimiter.Sample), error) {
+	if v.err != nil {
+		return nil, v.err
+	}
+	wait := time.Since(queued)
+	return func(s crlimiter.Sample) {
+		s.Queued = wait
+		now := time.Now()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.limiter.Release(now, s)
+		g.level.Completed(now)
+		g.admit(now)
+	}, nil
+}
+
+func (g *adaptiveGate) overloaded(p cradmission.Priority, detail string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &crcode.Error{
+		Code: crcode.Overloaded, Detail: detail,
+		RetryAfter: cradmission.RetryAfter(p, g.level.Current(), g.level.Pressure(), g.rnd),
+	}
+}
+
+func (g *adaptiveGate) tick(now time.Time) {
+	g.mu.Lock()
+	expired := g.queue.Expire(now)
+	g.admit(now)
+	g.mu.Unlock()
+	for _, it := range expired {
+		g.level.Waited(now, it.Wait(now))
+		answerItem(it, verdict{&crcode.Error{Code: crcode.QueueTimeout, RetryAfter: g.maxWait}})
+	}
+	g.level.Tick(now)
+}
+
+func (g *adaptiveGate) announce(now time.Time, slots int) { g.limiter.Announce(now, slots) }
+
+func (g *adaptiveGate) feedback() crFeedback {
+	return crFeedback{
+		InFlight: g.limiter.InFlight(), Limit: g.limiter.Limit(), Queued: g.queue.Len(), Level: g.level.Current(),
+		ServiceTime: g.limiter.ServiceTime(), Pressure: g.level.Pressure(),
+	}
+}
--- /dev/null
+++ b/internal/crnode/once.go
@@ -0,0 +1,64 @@
+package crnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crkeeper"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// claims is what the gate needs of the record keepers.
+type claims interface {
+	Claim(ctx context.Context, now crrecord.Instant, id crrecord.ID, digest crrecord.Digest) (crkeeper.Grant, error)
+	Complete(now crrecord.Instant, g crkeeper.Grant, answer crrecord.Answer) bool
+	Release(g crkeeper.Grant) bool
+	CountArrival(ctx context.Context, id crrecord.ID, slots, want int) (int, error)
+}
+
+// claimTimeout bounds the round trip to the keepers; between failure domains it takes 2 to 3 ms.
+const claimTimeout = 500 * time.Millisecond
+
+// claimRetryAfter tells callers when to return after a claim that failed.
+const claimRetryAfter = 200 * time.Millisecond
+
+// once runs a request that may not be repeated: the claim is granted before the run, and its end is recorded after.
+func (n *Node) once(ctx context.Context, r *run) answer {
+	digest := crrecord.DigestOf(r.req.GetService(), r.req.GetKind(), r.req.GetBody())
+	claimCtx, cancel := context.WithTimeout(ctx, min(claimTimeout, time.Until(r.deadline)))
+	grant, err := n.claims.Claim(claimCtx, n.clock(), r.id, digest)
+	cancel()
+	if err != nil {
+		n.Counters.Add("claims_refused", 1)
+		a := refusalOf(err)
+		if a.code == crcode.ClaimFailed && a.retryAfter == 0 {
+			a.retryAfter = claimRetryAfter
+		}
+		return a
+	}
+	if grant.Replayed {
+		n.Counters.Add("answers_replayed", 1)
+		return replayed(grant.Answer)
+	}
+	if time.Until(r.deadline) < minSendTime {
+		n.claims.Release(grant)
+		return refusal(crcode.DeadlineExpired, "after the claim")
+	}
+	a := n.isolated(ctx, r)
+	switch {
+	case !mayHaveStarted(a):
+		n.claims.Release(grant)
+	case a.code == crcode.OK:
+		n.claims.Complete(n.clock(), grant, crrecord.Answer{Status: a.status, ContentType: a.contentType, Body: a.body})
+	}
+	return a
+}
+
+// replayed is the stored answer of an earlier run.
+func replayed(a crrecord.Answer) answer {
+	if a.Omitted {
+		return refusal(crcode.AnswerNotKept, "")
+	}
+	return answer{code: crcode.Replayed, status: a.Status, contentType: a.ContentType, body: a.Body}
+}
--- /dev/null
+++ b/internal/crnode/serve.go
@@ -0,0 +1,166 @@
+package crnode
+
+import (
+	"context"
+	"hash/crc32"
+	"slices"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlimiter"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// finishGrace is how long a run that may not be repeated goes on after its caller's deadline, so that its answer is kept.
+const finishGrace = 10 * time.Second
+
+// handleCall serves a call that another node sent to the backend server beside this node.
+func (n *Node) handleCall(ctx context.Context, from *crwire.Session, req *crwire.CallRequest) (*crwire.CallResponse, error) {
+	return n.serveCall(ctx, from, req)
+}
+
+// serveCall admits and runs one call; from is nil for a call of this node itself.
+func (n *Node) serveCall(ctx context.Context, _ *crwire.Session, req *crwire.CallRequest) (*crwire.CallResponse, error) {
+	a, spent := n.guard(ctx, req)
+	return n.response(req, a, spent), nil
+}
+
+// guard checks what can be checked without a place, then runs the call behind the gate.
+func (n *Node) guard(ctx context.Context, req *crwire.CallRequest) (answer, time.Duration) {
+	now := time.Now()
+	if !n.work.begin() {
+		return refusal(crcode.Stopping, ""), 0
+	}
+	defer n.work.end()
+	if req.GetTargetIncarnation() != n.Incarnation {
+		return refusal(crcode.StaleIncarnation, ""), 0
+	}
+	if crc32.ChecksumIEEE(req.GetBody()) != req.GetBodyChecksum() {
+		return refusal(crcode.MalformedMessage, "the checksum of the body differs"), 0
+	}
+	ann, serving := n.lease.current(now)
+	if !serving || ann.Service != req.GetService() || n.view.Drained(n.Settings.Name) {
+		return refusal(crcode.Leaving, ""), 0
+	}
+	kind, err := n.kind(req.GetService(), req.GetKind())
+	if err != nil {
+		return refusalOf(err), 0
+	}
+	r := &run{
+		kind: kind, priority: cradmission.Priority(req.GetPriority()), backend: ann, req: req,
+		deadline: now.Add(time.Duration(req.GetRemainingUs()) * time.Microsecond),
+	}
+	return n.enter(ctx, r)
+}
+
+// run is one call on its way through the gate.
+type run struct {
+	kind     kindInfo
+	priority cradmission.Priority
+	deadline time.Time
+	backend  Announcement
+	req      *crwire.CallRequest
+	id       crrecord.ID
+	reached  []string
+}
+
+// enter waits for a place and runs the call in it.
+func (n *Node) enter(ctx context.Context, r *run) (answer, time.Duration) {
+	leave, err := n.gate.enter(ctx, r.priority, r.deadline)
+	if err != nil {
+		n.Counters.Add("gate_refused", 1)
+		return refusalOf(err), 0
+	}
+	if !r.kind.Repeatable() {
+		// A started run goes on without its caller, so that its answer can be given to a resend.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline.Add(finishGrace))
+		defer cancel()
+	}
+	start := time.Now()
+	a := n.inPlace(ctx, r)
+	spent := time.Since(start)
+	leave(crlimiter.Sample{Latency: spent, Result: measured(a)})
+	a.reached = r.reached
+	return a, spent
+}
+
+// measured tells the limiter how a run ended.
+func measured(a answer) crlimiter.Result {
+	switch a.code {
+	case crcode.OK:
+		if a.status >= 500 {
+			return crlimiter.Failure
+		}
+		return crlimiter.Success
+	case crcode.DeadlineRunning:
+		return crlimiter.Timeout
+	case crcode.Cancelled, crcode.CancelledRun, crcode.Replayed, crcode.InProgress:
+		return crlimiter.Cancelled
+	case crcode.ServerRefused:
+		return crlimiter.Refused
+	}
+	return crlimiter.Failure
+}
+
+// inPlace runs the call on the backend server, after the claim when the kind may not be repeated.
+func (n *Node) inPlace(ctx context.Context, r *run) answer {
+	if time.Until(r.deadline) < minSendTime {
+		return refusal(crcode.DeadlineExpired, "")
+	}
+	if r.kind.Repeatable() || n.Policy != Adaptive {
+		return n.isolated(ctx, r)
+	}
+	var err error
+	if r.id, err = crrecord.ParseID(r.req.GetRequestId()); err != nil {
+		return refusalOf(err)
+	}
+	return n.once(ctx, r)
+}
+
+// execute sends the work to the backend server and opens it for deeper calls meanwhile.
+func (n *Node) execute(ctx context.Context, r *run) answer {
+	e := &execution{
+		rootID: r.req.GetRootId(), id: r.req.GetRequestId(), service: r.req.GetService(), kind: r.req.GetKind(), priority: r.priority,
+		deadline: r.deadline, holder: holder{address: r.req.GetHolderAddress(), incarnation: r.req.GetHolderIncarnation()},
+		depth: int(r.req.GetDepth()),
+	}
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	n.executions.add(e)
+	defer n.executions.remove(e)
+	runCtx := ctx
+	if r.kind.Repeatable() {
+		var cancel context.CancelFunc
+		runCtx, cancel = context.WithDeadline(ctx, r.deadline)
+		defer cancel()
+	}
+	n.Counters.Add("runs", 1)
+	a := n.backend.run(runCtx, r.backend.Address, work{
+		id: r.req.GetRequestId(), kind: r.req.GetKind(), contentType: r.req.GetContentType(), body: r.req.GetBody(),
+		deadline: r.deadline, token: e.token,
+	})
+	r.reached = e.services()
+	return a
+}
+
+// response is the message for an answer, with the load of this gate and the levels that it knows.
+func (n *Node) response(req *crwire.CallRequest, a answer, spent time.Duration) *crwire.CallResponse {
+	fb := n.gate.feedback()
+	resp := &crwire.CallResponse{
+		RequestId: req.GetRequestId(), Code: uint32(a.code), Detail: a.detail, RetryAfterMs: a.retryAfter.Milliseconds(),
+		Status: uint32(a.status), ContentType: a.contentType, Body: a.body, BodyChecksum: crc32.ChecksumIEEE(a.body),
+		Reached: a.reached, InFlight: uint32(fb.InFlight), Limit: uint32(fb.Limit), Queued: uint32(fb.Queued), Level: uint64(fb.Level),
+		ServiceTimeUs: spent.Microseconds(),
+	}
+	for _, l := range n.levels.AppendAnswer(time.Now(), nil) {
+		resp.Levels = append(resp.Levels, &crwire.Level{Service: l.Service, Priority: uint64(l.Priority), AgeUs: l.Age.Microseconds()})
+	}
+	return resp
+}
+
+// mayHaveStarted reports whether the backend server may have begun the run.
+func mayHaveStarted(a answer) bool {
+	return !slices.Contains([]crcode.Code{crcode.NoServer, crcode.ServerRefused, crcode.DeadlineExpired, crcode.Quarantined, crcode.BadRequest, crcode.Overloaded}, a.code)
+}
--- a/internal/crreplica/command.go
+++ b/internal/crreplica/command.go
@@ -27,8 +27,7 @@
 	kind    commandKind
 	data    []byte
 	id      uint64
-	lost    uint64
-	address string
+	member  crlog.Member
 	taken   atomic.Bool
 	answer  chan answer
 	readID  uint64
@@ -94,8 +93,8 @@
 }
 
 // AddMember adds a learner that becomes a voter once it has caught up; it returns when the learner is committed.
-func (r *Replica) AddMember(ctx context.Context, id uint64, address string) error {
-	return r.call(ctx, &command{kind: addMember, id: id, address: address}, crcode.CommandUnknown).err
+func (r *Replica) AddMember(ctx context.Context, m crlog.Member) error {
+	return r.call(ctx, &command{kind: addMember, member: m}, crcode.CommandUnknown).err
 }
 
 // RemoveMember removes a member and returns when that is committed.
@@ -105,8 +104,8 @@
 
 // ReplaceMember adds a learner that takes the place of a lost voter once it has caught up; it returns when the learner
 // is committed. Status tells when the change has settled.
-func (r *Replica) ReplaceMember(ctx context.Context, lost, id uint64, address string) error {
-	return r.call(ctx, &command{kind: replaceMember, lost: lost, id: id, address: address}, crcode.CommandUnknown).err
+func (r *Replica) ReplaceMember(ctx context.Context, lost uint64, m crlog.Member) error {
+	return r.call(ctx, &command{kind: replaceMember, id: lost, member: m}, crcode.CommandUnknown).err
 }
 
 // TransferLeadership hands leadership to a voter, or to the most complete one when id is 0.
@@ -146,11 +145,11 @@
 func (r *Replica) change(now time.Time, c *command) (index, term uint64, err error) {
 	switch c.kind {
 	case addMember:
-		return r.node.AddMember(now, c.id, c.address)
+		return r.node.AddMember(now, c.member)
 	case removeMember:
 		return r.node.RemoveMember(now, c.id)
 	case replaceMember:
-		return r.node.ReplaceMember(now, c.lost, c.id, c.address)
+		return r.node.ReplaceMember(now, c.id, c.member)
 	default:
 		return r.node.Propose(now, c.data)
 	}
--- a/internal/crreplica/crreplica_test.go
+++ b/internal/crreplica/crreplica_test.go
@@ -270,9 +270,9 @@
 	lost := others(ins, l)[0]
 	lost.kill()
 	ln := listen(t, "127.0.0.1:0")
-	c.Assert(l.ReplaceMember(t.Context(), lost.ID, 4, ln.Addr().String()), qt.IsNil)
+	c.Assert(l.ReplaceMember(t.Context(), lost.ID, crlog.Member{ID: 4, Address: ln.Addr().String()}), qt.IsNil)
 	c.Assert(l.Status().Settled, qt.IsFalse)
-	err := l.AddMember(t.Context(), 5, "127.0.0.1:1")
+	err := l.AddMember(t.Context(), crlog.Member{ID: 5, Address: "127.0.0.1:1"})
 	c.Assert(crcode.Of(err), qt.Equals, crcode.ChangePending)
 	fresh := launch(t, crstore.OS{}, filepath.Join(t.TempDir(), "data"), ln, 4, func(*Replica) {})
 	until(t, func() bool { return l.Status().Settled && fresh.Status().StateApplied >= l.Status().Commit })
--- a/internal/crreplica/wire.go
+++ b/internal/crreplica/wire.go
@@ -16,7 +16,7 @@
 		out.Entries = append(out.Entries, &crwire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
 	}
 	for _, v := range m.Members {
-		out.Members = append(out.Members, &crwire.LogMember{Id: v.ID, Address: v.Address, Learner: v.Learner, Replaces: v.Replaces})
+		out.Members = append(out.Members, &crwire.LogMember{Id: v.ID, Name: v.Name, Address: v.Address, Learner: v.Learner, Replaces: v.Replaces})
 	}
 	return out
 }
@@ -38,7 +38,7 @@
 		out.Entries = append(out.Entries, crlog.Entry{Index: e.GetIndex(), Term: e.GetTerm(), Kind: crlog.Kind(e.GetKind()), Data: e.GetData()})
 	}
 	for _, v := range m.GetMembers() {
-		out.Members = append(out.Members, crlog.Member{ID: v.GetId(), Address: v.GetAddress(), Learner: v.GetLearner(), Replaces: v.GetReplaces()})
+		out.Members = append(out.Members, crlog.Member{ID: v.GetId(), Name: v.GetName(), Address: v.GetAddress(), Learner: v.GetLearner(), Replaces: v.GetReplaces()})
 	}
 	return out, nil
 }
--- a/pkg/crbudget/counter.go
+++ b/pkg/crbudget/counter.go
@@ -34,6 +34,7 @@
 	created  int64
 	arrivals int
 	given    int
+	retries  int
 }
 
 // Arrive counts an arrival of id, created at the given time, whose kind allows retries extra attempts.
@@ -61,11 +62,25 @@
 		return 0, false
 	}
 	e.arrivals++
+	e.retries = retries
 	granted = min(max(want, 0), left-cost)
 	e.given += cost + granted
 	return granted, true
 }
 
+// Take grants one retry of an id that arrived here, or reports that none is left.
+func (h *HomeCounter) Take(now time.Time, id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(now)
+	e := h.find(id)
+	if e == nil || e.given >= h.share(e.retries) {
+		return false
+	}
+	e.given++
+	return true
+}
+
 // Return gives back the unused part of a grant; an id that is no longer kept stays closed.
 func (h *HomeCounter) Return(id string, left int) {
 	h.mu.Lock()
--- a/pkg/crlog/change.go
+++ b/pkg/crlog/change.go
@@ -8,19 +8,19 @@
 )
 
 // AddMember adds a learner that becomes a voter by itself once it has caught up.
-func (n *Node) AddMember(now time.Time, id uint64, address string) (index, term uint64, err error) {
-	return n.addLearner(now, Member{ID: id, Address: address, Learner: true})
+func (n *Node) AddMember(now time.Time, m Member) (index, term uint64, err error) {
+	return n.addLearner(now, Member{ID: m.ID, Name: m.Name, Address: m.Address, Learner: true})
 }
 
 // ReplaceMember adds a learner; once it has caught up, the lost voter leaves and the learner takes its place.
-func (n *Node) ReplaceMember(now time.Time, lost, id uint64, address string) (index, term uint64, err error) {
+func (n *Node) ReplaceMember(now time.Time, lost uint64, m Member) (index, term uint64, err error) {
 	if lost == n.cfg.ID {
 		return 0, 0, crcode.New(crcode.BadValue, "member %x leads; transfer leadership first", lost)
 	}
 	if n.role == Leader && !n.Members().isVoter(lost) {
 		return 0, 0, crcode.New(crcode.NotFound, "member %x", lost)
 	}
-	return n.addLearner(now, Member{ID: id, Address: address, Learner: true, Replaces: lost})
+	return n.addLearner(now, Member{ID: m.ID, Name: m.Name, Address: m.Address, Learner: true, Replaces: lost})
 }
 
 func (n *Node) addLearner(now time.Time, m Member) (index, term uint64, err error) {
--- a/pkg/crlog/crlog_test.go
+++ b/pkg/crlog/crlog_test.go
@@ -97,7 +97,7 @@
 		}
 	}
 	w.nextID++
-	if _, _, err := l.node.ReplaceMember(w.now(l), lost.id, w.nextID, addr(w.nextID)); err != nil {
+	if _, _, err := l.node.ReplaceMember(w.now(l), lost.id, crlog.Member{ID: w.nextID, Address: addr(w.nextID)}); err != nil {
 		return
 	}
 	// A rate of 0 marks a member whose disk is gone.
@@ -178,7 +178,7 @@
 		l := w.leader()
 		first, second := w.sims[l.id%3+1], w.sims[(l.id+1)%3+1]
 		w.replace(first)
-		_, _, err := l.node.AddMember(w.now(l), 9, "m9")
+		_, _, err := l.node.AddMember(w.now(l), crlog.Member{ID: 9, Address: "m9"})
 		c.Assert(crcode.Of(err), qt.Equals, crcode.ChangePending)
 		// The second member is lost after a different number of messages each time.
 		for range cut {
@@ -247,7 +247,7 @@
 	w.run(obs)
 
 	w.add(2, nil)
-	_, _, err := l.node.AddMember(w.now(l), 2, addr(2))
+	_, _, err := l.node.AddMember(w.now(l), crlog.Member{ID: 2, Address: addr(2)})
 	c.Assert(err, qt.IsNil)
 	_, _, err = l.node.RemoveMember(w.now(l), 1)
 	c.Assert(crcode.Of(err), qt.Equals, crcode.ChangePending)
@@ -255,7 +255,7 @@
 	st := l.node.Status(w.now(l))
 	c.Assert(st.Settled, qt.IsTrue)
 	c.Assert(st.Members, qt.DeepEquals, crlog.Members{{ID: 1, Address: "m1"}, {ID: 2, Address: "m2"}})
-	_, _, err = l.node.AddMember(w.now(l), 2, addr(2))
+	_, _, err = l.node.AddMember(w.now(l), crlog.Member{ID: 2, Address: addr(2)})
 	c.Assert(crcode.Of(err), qt.Equals, crcode.Exists)
 	// With two voters the observer must not make up for the missing one.
 	w.sims[2].down = true
--- a/pkg/crlog/members.go
+++ b/pkg/crlog/members.go
@@ -12,7 +12,9 @@
 
 // Member is one instance that holds the log.
 type Member struct {
-	ID      uint64 `json:"id"`
+	ID uint64 `json:"id"`
+	// Name is for operators only; nothing is decided by it.
+	Name    string `json:"name,omitempty"`
 	Address string `json:"address"`
 	// Learner marks a member that receives the log but has no vote until it has caught up.
 	Learner bool `json:"learner,omitempty"`
--- a/pkg/crlog/status.go
+++ b/pkg/crlog/status.go
@@ -1,6 +1,21 @@
 package crlog
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// FollowerStatus is what a leader knows of another member or an observer.
+type FollowerStatus struct {
+	ID       uint64
+	Address  string
+	Observer bool
+	// Match is the last index known to be stored there.
+	Match uint64
+	// Contact is the time since the last message from there.
+	Contact time.Duration
+}
 
 // Status describes a member for the state dump.
 type Status struct {
@@ -22,6 +37,8 @@
 	Observers            int
 	LastHeardFromLeader  time.Duration
 	UncommittedLogLength uint64
+	// Followers is set on a leader only, in ascending order of id.
+	Followers []FollowerStatus
 }
 
 // Status returns the present state of the member.
@@ -36,6 +53,7 @@
 		s.LastHeardFromLeader = 0
 		s.Lease = max(0, n.lead.leaseEnd.Sub(now))
 		s.Observers = n.observers()
+		s.Followers = n.followers(now)
 	}
 	return s
 }
@@ -45,3 +63,12 @@
 
 // StoredHard returns the term and vote that Advance has confirmed as stored.
 func (n *Node) StoredHard() HardState { return n.storedHard }
+
+func (n *Node) followers(now time.Time) []FollowerStatus {
+	out := make([]FollowerStatus, 0, len(n.lead.peers))
+	for id, p := range n.lead.peers {
+		out = append(out, FollowerStatus{ID: id, Address: p.address, Observer: p.observer, Match: p.match, Contact: now.Sub(p.heard)})
+	}
+	slices.SortFunc(out, func(a, b FollowerStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
