pkg/crbudget: close ids from before a counter's start

Cause: a record keeper that restarts without memory would count ids again that had arrived before. Change: HomeCounter.RaiseFence. Without the change of the fence the test fails. Conclusion: a new counter can start closed for ids that a predecessor may have counted.

--- a/pkg/crbudget/counter.go
+++ b/pkg/crbudget/counter.go
@@ -89,6 +89,14 @@
 	return len(h.current.entries) + len(h.prior.entries)
 }
 
+// RaiseFence closes all ids created at or before the given time that are not kept. A counter whose ids may have
+// arrived at a predecessor without memory starts with the present time plus the 5 s that ids may lie ahead.
+func (h *HomeCounter) RaiseFence(created time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fence = max(h.fence, created.UnixMilli())
+}
+
 // Fence returns the creation time at or below which unknown ids are refused; the zero time means none.
 func (h *HomeCounter) Fence() time.Time {
 	h.mu.Lock()
--- a/pkg/crbudget/crbudget_test.go
+++ b/pkg/crbudget/crbudget_test.go
@@ -138,6 +138,11 @@
 	_, ok = h.Arrive(t0.Add(2*time.Second), "a", t0, 3, 1)
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(h.Fence(), qt.Equals, time.UnixMilli(t0.UnixMilli()))
+	h.RaiseFence(t0.Add(5 * time.Second))
+	for created, want := range map[time.Duration]bool{5 * time.Second: false, 5001 * time.Millisecond: true} {
+		_, ok = h.Arrive(t0.Add(2*time.Second), fmt.Sprint(created), t0.Add(created), 3, 1)
+		c.Assert(ok, qt.Equals, want)
+	}
 }
 
 // Guards against data races and attempts granted twice when goroutines share the counters.
