--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -1,9 +1,11 @@
 // Package crlimiter adapts the concurrency limit of one backend server to what its gate measures. It has no clock and
 // no goroutine and is safe for concurrent use.
 //
-// The limiter compares neighbouring windows that ran at different concurrency. The throughput of the higher one times
-// the latency of the lower one estimates how many requests the server really works on at once (Little's law). Work
-// that became slower for other reasons changes both windows alike, so it does not lower the limit.
+// The limiter compares neighbouring windows that ran at different concurrency. Runs that take longer at the higher one
+// waited for each other inside the server (Little's law), and the limit leaves them out. Work that became slower for
+// other reasons changes both windows alike, so it does not lower the limit. Runs are compared with the usual time of
+// their kind, so that a change of the mix is not taken for a change of the server, and time spent in calls to other
+// services does not count.
 package crlimiter
 
 import (
@@ -28,15 +30,20 @@
 	Cancelled
 )
 
-// Sample is the measurement of one run. Queued is the time in the gate's own queue and is not part of Latency.
+// Sample is the measurement of one run.
 type Sample struct {
+	// Kind names what was run; runs of one kind are expected to take similar time.
+	Kind    string
 	Latency time.Duration
-	Queued  time.Duration
-	Result  Result
+	// Elsewhere is the part of Latency in which the run waited for calls to other services.
+	Elsewhere time.Duration
+	// Queued is the time in the gate's own queue and is not part of Latency.
+	Queued time.Duration
+	Result Result
 }
 
 // Limiter is the adaptive limit. Fields are set before use: Slots are the announced slots and the first limit; Min and
-// Max bound it (zero: 1 and 4 times Slots).
+// Max bound it (zero: a quarter of Slots and 4 times Slots).
 type Limiter struct {
 	Slots int
 	Min   int
@@ -51,6 +58,26 @@
 	state    search
 	refusals time.Time // last cut because of a refusal
 	good     int       // limit before a hang, restored by the first success
+	kinds    map[string]float64
+}
+
+// maxKinds bounds the kinds whose usual time is kept; the others share one entry.
+const maxKinds = 64
+
+// usual returns the usual time of a kind in seconds and lets own change it slowly, over many windows.
+func (l *Limiter) usual(kind string, own float64) float64 {
+	if l.kinds == nil {
+		l.kinds = make(map[string]float64)
+	}
+	if _, ok := l.kinds[kind]; !ok && len(l.kinds) >= maxKinds {
+		kind = ""
+	}
+	u, ok := l.kinds[kind]
+	if !ok {
+		u = own
+	}
+	l.kinds[kind] = u + (own-u)/256
+	return u
 }
 
 // window collects one measurement at one limit.
@@ -61,7 +88,8 @@
 	area     float64 // in flight integrated over seconds since settle
 	success  int
 	timeouts int
-	latency  time.Duration // sum over successes
+	own      float64 // seconds that successes ran, calls to other services left out
+	work     float64 // seconds that the same runs usually take
 }
 
 // Acquire takes a place and reports whether there was one.
@@ -93,7 +121,9 @@
 		l.observe(s.Latency)
 		if !now.Before(w.settle) {
 			w.success++
-			w.latency += s.Latency
+			own := max(s.Latency-s.Elsewhere, 0).Seconds()
+			w.own += own
+			w.work += l.usual(s.Kind, own)
 		}
 	case Refused:
 		// One cut per window: all requests in flight may be refused for the same reason.
@@ -194,7 +224,12 @@
 }
 
 func (l *Limiter) clamp(n int) int {
-	lowest, highest := max(l.Min, 1), l.Max
+	lowest, highest := l.Min, l.Max
+	if lowest == 0 {
+		// A server that announces more than four times what it can do is not to be had at its best; a wrong
+		// measurement must not take most of a good one away.
+		lowest = max(l.Slots/4, 1)
+	}
 	if highest == 0 {
 		highest = max(4*l.Slots, lowest)
 	}
--- a/pkg/crlimiter/search.go
+++ b/pkg/crlimiter/search.go
@@ -6,12 +6,13 @@
 	// minWindow and maxSettle bound one measurement; a window also covers one and a half typical latencies.
 	minWindow = 100 * time.Millisecond
 	maxSettle = time.Second
-	// rounds times the limit, but at most maxSuccess, is the number of answers that a window needs; with exponential
-	// service times 200 answers give the mean within about 7%.
-	rounds     = 4
-	maxSuccess = 200
+	// minSuccess is the number of answers that a window needs; with exponential service times 200 answers give the mean
+	// within about 7%.
+	minSuccess = 200
 	// maxWindow bounds a window in time; one that stays short of answers is started again.
-	maxWindow = 2 * time.Second
+	maxWindow = 5 * time.Second
+	// waitingShare is the part of the requests in flight that must wait inside the server for the limit to fall.
+	waitingShare = 0.1
 	// probeEvery is the pause between probes once a search has settled; a lower probe costs up to 10% of the
 	// throughput for about 150 ms.
 	probeEvery = 2 * time.Second
@@ -25,10 +26,10 @@
 
 // measure is the outcome of one window.
 type measure struct {
-	limit      int
-	throughput float64 // successes per second
-	latency    float64 // seconds
-	inFlight   float64 // mean
+	limit    int
+	work     float64 // usual seconds of work done per second
+	ratio    float64 // own time over usual time
+	inFlight float64 // mean
 }
 
 // search is the state of the comparison: a base window, then a probe at another limit.
@@ -48,17 +49,17 @@
 		return
 	}
 	length := now.Sub(w.settle)
-	if length < max(minWindow, l.service+l.service/2) || w.success < min(maxSuccess, rounds*l.limit) {
+	if length < max(minWindow, l.service+l.service/2) || w.success < minSuccess || w.work == 0 {
 		if length > max(maxWindow, 4*l.service) {
 			l.restart(now, 0)
 		}
 		return
 	}
 	m := measure{
-		limit:      l.limit,
-		throughput: float64(w.success) / length.Seconds(),
-		latency:    w.latency.Seconds() / float64(w.success),
-		inFlight:   w.area / length.Seconds(),
+		limit:    l.limit,
+		work:     w.work / length.Seconds(),
+		ratio:    w.own / w.work,
+		inFlight: w.area / length.Seconds(),
 	}
 	l.restart(now, 0)
 	s := &l.state
@@ -133,16 +134,18 @@
 	if !s.up {
 		low, high = m, s.base
 	}
-	if low.throughput > high.throughput*tolerance || high.latency*tolerance < low.latency {
+	if low.work > high.work*tolerance || high.ratio*tolerance < low.ratio {
 		// Less concurrency cannot make a server both faster and slower: the server itself changed meanwhile.
 		l.revert(now)
 		s.base, s.down, s.factor = measure{}, 0, 0
 		return
 	}
-	working := high.throughput * low.latency
+	// What the higher window took longer than the lower one for the same work is time spent waiting inside the server.
+	waiting := high.work * (high.ratio - low.ratio)
+	working := high.inFlight - waiting
 	s.probing = false
 	switch {
-	case working >= 0.97*high.inFlight:
+	case waiting <= waitingShare*high.inFlight && working > low.inFlight:
 		// All of the higher concurrency was worked on.
 		l.accept(now, high.limit, true)
 	case working <= 1.03*low.inFlight:
