crkeeper: check that a member's address still belongs to it

Cause: a message names only the incarnation, so another node at a reused address could take it. Change: a session is used only when its peer is the member's node in the member's incarnation. Conclusion: the handlers' own check stays and is tested apart.

--- a/internal/crkeeper/client.go
+++ b/internal/crkeeper/client.go
@@ -163,13 +163,26 @@
 }](c *Client, m crrecord.Member, method string, req crwireMessage, timeout time.Duration) (P, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	s, err := c.Endpoint.Session(ctx, m.Address)
+	s, err := reach(ctx, c.Endpoint, m)
 	if err != nil {
 		return nil, err
 	}
 	return crwire.Call[Resp, P](ctx, s, method, req)
 }
 
+// reach returns a session to a member; another node or incarnation at its address is refused, since a message names
+// only the incarnation.
+func reach(ctx context.Context, e *crwire.Endpoint, m crrecord.Member) (*crwire.Session, error) {
+	s, err := e.Session(ctx, m.Address)
+	if err != nil {
+		return nil, err
+	}
+	if p := s.Peer(); p.Name != m.Node || p.Incarnation != m.Incarnation {
+		return nil, crcode.New(crcode.StaleIncarnation, "%s is %s-%s, not %s-%s", m.Address, p.Name, p.Incarnation, m.Node, m.Incarnation)
+	}
+	return s, nil
+}
+
 func (c *Client) claimAt(m crrecord.Member, claim crrecord.Claim) crrecord.Reply {
 	if c.isLocal(m) {
 		return c.Local.claim(claim)
@@ -201,7 +214,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	s, err := c.Endpoint.Session(ctx, runner.Address)
+	s, err := reach(ctx, c.Endpoint, runner)
 	if err != nil {
 		return crrecord.Answer{}, lost
 	}
--- a/internal/crkeeper/crkeeper.go
+++ b/internal/crkeeper/crkeeper.go
@@ -262,7 +262,7 @@
 		}
 		return out, nil
 	}
-	s, err := k.Endpoint.Session(ctx, t.Member.Address)
+	s, err := reach(ctx, k.Endpoint, t.Member)
 	if err != nil {
 		return crrecord.Handover{}, err
 	}
--- a/internal/crkeeper/crkeeper_test.go
+++ b/internal/crkeeper/crkeeper_test.go
@@ -212,8 +212,13 @@
 	reborn.configure(present)
 	_, err = nodes[3].claim(crashed, bodyA)
 	c.Check(crcode.Of(err), qt.Equals, crcode.InProgress)
-	reply, err := call[crwire.RecordReply](nodes[3].client, old, methodClaim, &crwire.RecordClaim{TargetIncarnation: "1"}, time.Second)
-	c.Check(reply == nil && crcode.Of(err) == crcode.StaleIncarnation, qt.IsTrue, qt.Commentf("%v", err))
+	// The dialer and the handlers both refuse what was meant for the old incarnation, or for another node there.
+	for _, m := range []crrecord.Member{old, {Node: "other", Incarnation: "2", Address: old.Address}} {
+		_, err = call[crwire.RecordReply](nodes[3].client, m, methodClaim, &crwire.RecordClaim{TargetIncarnation: "2"}, time.Second)
+		c.Check(crcode.Of(err), qt.Equals, crcode.StaleIncarnation)
+	}
+	_, err = reborn.keeper.onClaim(context.Background(), nil, &crwire.RecordClaim{TargetIncarnation: "1"})
+	c.Check(crcode.Of(err), qt.Equals, crcode.StaleIncarnation)
 
 	next := crrecord.Group{Number: testGroup, Epoch: 2, Previous: present.Members}
 	next.Members = []crrecord.Member{reborn.self(), nodes[1].self(), nodes[2].self()}
