crlimiter: compare runs with the usual time of their kind

Cause: at half load the limit of the route and price servers fell to 1 or 2. Two windows of 100 ms with 16 answers of kinds that take 8 ms and 76 ms differ by chance, and time spent in deeper calls was taken for work of the server. Ruled out: the router (in flight was even) and the queue (it only filled after the limit fell).

--- a/internal/crdemo/load.go
+++ b/internal/crdemo/load.go
@@ -49,7 +49,7 @@
 
 // Start makes the HTTP client of the callers.
 func (c *Callers) Start() {
-	c.client = &http.Client{Transport: &http.Transport{MaxIdleConns: 4000, MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+	c.client = &http.Client{Transport: &http.Transport{MaxIdleConns: 4000, MaxIdleConnsPerHost: 400, MaxConnsPerHost: 400, DisableCompression: true}}
 	c.rnd = rand.New(rand.NewPCG(c.Seed, 1))
 }
 
--- a/internal/crnode/running.go
+++ b/internal/crnode/running.go
@@ -37,6 +37,36 @@
 	mu      sync.Mutex
 	reached []string
 	calls   int
+	// open counts deeper calls under way; elsewhere is the time during which there was at least one.
+	open      int
+	since     time.Time
+	elsewhere time.Duration
+}
+
+// callBegins counts a deeper call in.
+func (e *execution) callBegins(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.open == 0 {
+		e.since = now
+	}
+	e.open++
+}
+
+// callEnds counts a deeper call out.
+func (e *execution) callEnds(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.open--; e.open == 0 {
+		e.elsewhere += now.Sub(e.since)
+	}
+}
+
+// timeElsewhere returns the time that the run has waited for deeper calls.
+func (e *execution) timeElsewhere() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.elsewhere
 }
 
 // reach notes the services that a deeper call went through.
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -64,6 +64,8 @@
 	req      *crwire.CallRequest
 	id       crrecord.ID
 	reached  []string
+	// elsewhere is the time that the run waited for deeper calls.
+	elsewhere time.Duration
 }
 
 // enter waits for a place and runs the call in it.
@@ -82,7 +84,7 @@
 	start := time.Now()
 	a := n.inPlace(ctx, r)
 	spent := time.Since(start)
-	leave(crlimiter.Sample{Latency: spent, Result: measured(a)})
+	leave(crlimiter.Sample{Kind: r.kind.Name(), Latency: spent, Elsewhere: r.elsewhere, Result: measured(a)})
 	a.reached = r.reached
 	return a, spent
 }
@@ -141,7 +143,7 @@
 		id: r.req.GetRequestId(), kind: r.req.GetKind(), contentType: r.req.GetContentType(), body: r.req.GetBody(),
 		deadline: r.deadline, token: e.token,
 	})
-	r.reached = e.services()
+	r.reached, r.elsewhere = e.services(), e.timeElsewhere()
 	return a
 }
 
--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -58,26 +58,42 @@
 	state    search
 	refusals time.Time // last cut because of a refusal
 	good     int       // limit before a hang, restored by the first success
-	kinds    map[string]float64
+	kinds    map[string]*usualTime
+}
+
+// usualTime is the long-term mean of the own time of one kind.
+type usualTime struct {
+	seconds float64
+	n       int
+	at      time.Time
 }
 
 // maxKinds bounds the kinds whose usual time is kept; the others share one entry.
 const maxKinds = 64
 
-// usual returns the usual time of a kind in seconds and lets own change it slowly, over many windows.
-func (l *Limiter) usual(kind string, own float64) float64 {
+// usualPeriod is the time in which the usual time of a kind follows a change; it is much longer than a window.
+const usualPeriod = time.Minute
+
+// usual returns the usual time of a kind in seconds and lets own change it slowly, so that two neighbouring windows are
+// measured against the same value.
+func (l *Limiter) usual(now time.Time, kind string, own float64) float64 {
 	if l.kinds == nil {
-		l.kinds = make(map[string]float64)
+		l.kinds = make(map[string]*usualTime)
 	}
-	if _, ok := l.kinds[kind]; !ok && len(l.kinds) >= maxKinds {
+	u, ok := l.kinds[kind]
+	if !ok && len(l.kinds) >= maxKinds {
 		kind = ""
+		u, ok = l.kinds[kind]
 	}
-	u, ok := l.kinds[kind]
 	if !ok {
-		u = own
+		u = &usualTime{at: now}
+		l.kinds[kind] = u
 	}
-	l.kinds[kind] = u + (own-u)/256
-	return u
+	u.n++
+	weight := max(1/float64(u.n), min(now.Sub(u.at).Seconds()/usualPeriod.Seconds(), 1))
+	u.seconds += (own - u.seconds) * weight
+	u.at = now
+	return u.seconds
 }
 
 // window collects one measurement at one limit.
@@ -123,7 +139,7 @@
 			w.success++
 			own := max(s.Latency-s.Elsewhere, 0).Seconds()
 			w.own += own
-			w.work += l.usual(s.Kind, own)
+			w.work += l.usual(now, s.Kind, own)
 		}
 	case Refused:
 		// One cut per window: all requests in flight may be refused for the same reason.
--- a/pkg/crlimiter/search.go
+++ b/pkg/crlimiter/search.go
@@ -11,8 +11,11 @@
 	minSuccess = 200
 	// maxWindow bounds a window in time; one that stays short of answers is started again.
 	maxWindow = 5 * time.Second
-	// waitingShare is the part of the requests in flight that must wait inside the server for the limit to fall.
-	waitingShare = 0.1
+	// A probe is decided by the part of the additional concurrency that only waited inside the server.
+	mostlyWorked = 0.4
+	mostlyWaited = 0.8
+	// firstStep is the share by which the first lower probe cuts; it stands well above the noise of two windows.
+	firstStep = 0.2
 	// probeEvery is the pause between probes once a search has settled; a lower probe costs up to 10% of the
 	// throughput for about 150 ms.
 	probeEvery = 2 * time.Second
@@ -40,6 +43,7 @@
 	up      bool    // the next probe is a higher one
 	factor  float64 // factor of a higher probe
 	next    time.Time
+	agreed  bool // the last lower probe already told to go lower
 }
 
 // evaluate ends a window that has enough time and answers.
@@ -109,7 +113,7 @@
 		n = l.clamp(max(int(float64(n)*s.factor), n+1))
 	} else {
 		if s.down == 0 {
-			s.down = 0.1
+			s.down = firstStep
 		}
 		n = l.clamp(min(int(float64(n)*(1-s.down)+0.5), n-1))
 	}
@@ -142,30 +146,34 @@
 	}
 	// What the higher window took longer than the lower one for the same work is time spent waiting inside the server.
 	waiting := high.work * (high.ratio - low.ratio)
-	working := high.inFlight - waiting
+	part := waiting / max(high.inFlight-low.inFlight, 1)
 	s.probing = false
 	switch {
-	case waiting <= waitingShare*high.inFlight && working > low.inFlight:
-		// All of the higher concurrency was worked on.
+	case part <= mostlyWorked:
 		l.accept(now, high.limit, true)
-	case working <= 1.03*low.inFlight:
-		// Even the lower one was not.
-		l.accept(now, low.limit, false)
-	default:
+	case part < mostlyWaited:
 		// The estimate lies between the two windows.
-		s.down, s.factor, s.up = 0, 0, false
+		s.down, s.factor, s.up, s.agreed = 0, 0, false, false
 		s.next = now.Add(probeEvery)
 		s.base = measure{}
+		working := high.inFlight - waiting
 		l.set(now, min(max(int(working*headroom+0.999), low.limit), max(high.limit, low.limit+1)))
+	case !s.up && !s.agreed:
+		// One window pair may be noise, and a wrong lower limit costs throughput: look once more.
+		l.set(now, high.limit)
+		s.base, s.agreed, s.next = measure{}, true, now
+	default:
+		l.accept(now, low.limit, false)
 	}
 }
 
 // accept moves to a limit and goes on in the same direction with a longer step, or turns round and pauses.
 func (l *Limiter) accept(now time.Time, n int, up bool) {
 	s := &l.state
+	s.agreed = !up && !s.up
 	if up == s.up {
 		s.factor = min(max(s.factor*1.3, 1.25), 2)
-		s.down = min(max(s.down*2, 0.1), 0.5)
+		s.down = min(max(s.down*1.5, firstStep), 0.5)
 		s.next = now
 	} else {
 		s.factor, s.down = 0, 0
