crnode: a refusal of a deeper service is no overload of this server

Cause: in the fault the limits of route, photo and price fell from 13, 17 and 4 to 3, 11 and 1. A backend server that passes on the refusal of a deeper call was measured as overloaded itself, and its refusal was tried again at another server of the service. Ruled out: the comparison of windows in the limiter; the limits fell only while deeper calls were refused. The p99 before the fault leaves out requests that ended in the fault.

--- a/internal/crdemo/compound.go
+++ b/internal/crdemo/compound.go
@@ -114,7 +114,7 @@
 	out.Recovery, out.Recovered = t.Recovery(end, last, t.Share(Before))
 	out.Watched = last.Sub(end)
 	out.Waste = t.Waste(l, Fault)
-	out.P99 = t.Latency(Before, 0.99)
+	out.P99 = t.Latency(Before, fault, 0.99)
 	out.Breaches = t.Check(c.Scenario, l)
 	return out
 }
--- a/internal/crdemo/tally.go
+++ b/internal/crdemo/tally.go
@@ -216,13 +216,14 @@
 	return float64(lost) / float64(all)
 }
 
-// Latency returns the given quantile of the time from first send to whole answer in a phase, 0 without answers.
-func (t *Tally) Latency(p Phase, quantile float64) time.Duration {
+// Latency returns the given quantile of the time from first send to whole answer in a phase, for answers before last;
+// 0 without answers.
+func (t *Tally) Latency(p Phase, last time.Time, quantile float64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []time.Duration
 	for _, r := range t.finished {
-		if r.phase == p && r.outcome == crcode.Run {
+		if r.phase == p && r.outcome == crcode.Run && r.end.Before(last) {
 			all = append(all, r.end.Sub(r.start))
 		}
 	}
--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -144,11 +144,20 @@
 		return refusal(crcode.AnswerTooLarge, "")
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == crcode.NotRun.String() {
-		return answer{code: crcode.ServerRefused, retryAfter: retryAfter(resp.Header)}
+		return answer{code: crcode.ServerRefused, detail: deeperRefusal(resp.Header), retryAfter: retryAfter(resp.Header)}
 	}
 	return answer{code: crcode.OK, status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}
 }
 
+// deeperRefusal tells which refusal of a deeper call the backend server passes on; it is empty when the refusal is its own.
+func deeperRefusal(h http.Header) string {
+	code, err := strconv.ParseUint(h.Get(HeaderCode), 10, 16)
+	if err != nil {
+		return ""
+	}
+	return "a deeper call was refused: " + crcode.Code(code).String()
+}
+
 func retryAfter(h http.Header) time.Duration {
 	ms, err := strconv.ParseInt(h.Get(HeaderRetryAfter), 10, 32)
 	if err != nil || ms < 0 {
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -102,6 +102,10 @@
 	case crcode.Cancelled, crcode.CancelledRun, crcode.Replayed, crcode.InProgress:
 		return crlimiter.Cancelled
 	case crcode.ServerRefused:
+		if a.detail != "" {
+			// A deeper service is overloaded, not this server.
+			return crlimiter.Cancelled
+		}
 		return crlimiter.Refused
 	}
 	return crlimiter.Failure
