crreplica: read the time for each message

Cause: a round of up to 1,024 messages used one time read at its start. A follower then counted its lease from before the leader's message was sent, and a leader could answer a lease read slightly too late. Change: the time is read after each item was taken. crstore tells a lock that is held from other failures of the lock file. Measured: go test -race ./pkg/crstore ./internal/crreplica passes; GOMAXPROCS=2 go test -count=12 ./internal/crreplica passes.

--- a/internal/crreplica/loop.go
+++ b/internal/crreplica/loop.go
@@ -31,15 +31,15 @@
 	}
 }
 
-// drain takes in what else has arrived, so that one sync stores many proposals.
+// drain takes in what else has arrived, so that one sync stores many proposals. The time is read after each item was
+// taken: an older time would shorten the lease that a follower grants, or lengthen the one that a leader holds.
 func (r *Replica) drain() {
-	now := time.Now()
 	for range drainLimit {
 		select {
 		case m := <-r.inbox.C():
-			r.step(now, m)
+			r.step(time.Now(), m)
 		case c := <-r.commands.C():
-			r.command(now, c)
+			r.command(time.Now(), c)
 		default:
 			return
 		}
--- a/pkg/crstore/crstore.go
+++ b/pkg/crstore/crstore.go
@@ -39,7 +39,8 @@
 	Remove(name string) error
 	// SyncDir makes the entries of a folder durable.
 	SyncDir(dir string) error
-	// Lock takes a lock that ends with the process or when the closer is closed; it doesn't wait.
+	// Lock takes a lock that ends with the process or when the closer is closed; it doesn't wait, and returns
+	// syscall.EWOULDBLOCK when another process holds the lock.
 	Lock(name string) (io.Closer, error)
 }
 
@@ -103,9 +104,12 @@
 		return crlog.State{}, coded(err)
 	}
 	lock, err := s.fs.Lock(s.path(lockName))
-	if err != nil {
+	if errors.Is(err, syscall.EWOULDBLOCK) {
 		return crlog.State{}, crcode.New(crcode.StoreLocked, "%s: %v", s.dir, err)
 	}
+	if err != nil {
+		return crlog.State{}, coded(err)
+	}
 	s.lock = lock
 	raw, err := s.fs.ReadFile(s.path(identityName))
 	if errors.Is(err, fs.ErrNotExist) {
