crlog: shorten the example

Cause: the example should show the embedding in as few lines as possible. Change: the loop runs over the time itself.

--- a/pkg/crlog/example_test.go
+++ b/pkg/crlog/example_test.go
@@ -22,8 +22,7 @@
 		nodes[m.Address] = n
 	}
 	proposed := false
-	for range 300 {
-		now = now.Add(10 * time.Millisecond)
+	for ; now.Before(time.Unix(3, 0)); now = now.Add(10 * time.Millisecond) {
 		for _, m := range members {
 			n := nodes[m.Address]
 			n.Tick(now)
