crkeeper, crquarantine: close gaps that changed code showed in the tests

Cause: four deliberate faults (a shared run clears a suspect, deliveries end too early or leave out the present members, a refused claim is not released) passed the tests. Change: a group change to three new members with a late completion, a check of the records after a refused claim, a suspect learned while its copy runs.

--- a/internal/crkeeper/crkeeper_test.go
+++ b/internal/crkeeper/crkeeper_test.go
@@ -238,27 +238,34 @@
 	}
 }
 
-// Guards against a claim or an answer that is decided by keepers of an old group epoch.
+// Guards against a claim that is decided by keepers of an old group epoch, and against a completion that stays there.
 func TestOldEpochDecidesNothing(t *testing.T) {
 	c := qt.New(t)
-	nodes := cluster(t, 5)
-	stale := nodes[4] // It and node 0 are not told of epoch 2.
+	nodes := cluster(t, 7)
+	stale := nodes[6] // It is not told of epoch 2 at first.
 	id := newID()
 	g, err := stale.claim(id, bodyA)
 	c.Assert(err, qt.IsNil)
 	present, _ := stale.table.Group(testGroup)
 	next := crrecord.Group{Number: testGroup, Epoch: 2, Previous: present.Members}
-	next.Members = []crrecord.Member{nodes[3].self(), nodes[1].self(), nodes[2].self()}
-	for _, n := range nodes[1:4] {
+	for _, n := range nodes[3:6] {
+		next.Members = append(next.Members, n.self())
+	}
+	for _, n := range nodes[:6] {
 		n.configure(next)
 	}
-	for _, n := range nodes[1:4] {
+	for _, n := range nodes[3:6] {
 		eventually(t, func() bool { return n.epoch() == 2 })
 	}
 	_, err = stale.claim(newID(), bodyA)
 	c.Check(crcode.Of(err), qt.Equals, crcode.ClaimFailed)
-	// The completion of a run from epoch 1 reaches epoch 2 once its gate learns of it.
 	c.Assert(stale.client.Complete(stale.keeper.Now(), g, crrecord.Answer{Status: 200, Body: []byte("late")}), qt.IsTrue)
+	for _, n := range nodes[:3] {
+		eventually(t, func() bool { return n.ran(id) })
+	}
+	for _, n := range nodes[3:6] {
+		c.Check(n.ran(id), qt.IsFalse)
+	}
 	stale.configure(next)
 	eventually(t, func() bool { return stale.client.Pending() == 0 })
 	again, err := nodes[3].claim(id, bodyA)
@@ -266,6 +273,18 @@
 	c.Check(again.Replayed && string(again.Answer.Body) == "late", qt.IsTrue)
 }
 
+// ran reports whether the node's keeper knows that the id ran.
+func (n *node) ran(id crrecord.ID) (done bool) {
+	now := n.keeper.Now()
+	n.keeper.with(func(core *crrecord.Keeper) {
+		h, _ := core.Seal(now, testGroup, 1, 2)
+		for _, r := range h.Records {
+			done = done || r.ID == id && r.Done
+		}
+	})
+	return done
+}
+
 // Guards against a gate without a majority that runs, and against a refusal that hides an earlier run.
 func TestGateWithoutMajority(t *testing.T) {
 	c := qt.New(t)
@@ -277,6 +296,11 @@
 	nodes[2].stop()
 	_, err = nodes[0].claim(newID(), bodyA)
 	c.Check(crcode.Of(err), qt.Equals, crcode.ClaimFailed)
+	// The refused claim leaves no record, the earlier one stays.
+	eventually(t, func() bool {
+		stats, _ := nodes[0].keeper.Stats()
+		return stats.Records == 1
+	})
 	_, err = nodes[0].claim(id, bodyA)
 	c.Check(crcode.Of(err), qt.Equals, crcode.InProgress)
 	_, err = (&Client{Groups: new(table)}).Claim(context.Background(), crrecord.Instant{}, id, bodyA)
--- a/pkg/crquarantine/crquarantine_test.go
+++ b/pkg/crquarantine/crquarantine_test.go
@@ -74,7 +74,11 @@
 	a.Started(start, deadly)
 	a.Crashed(start)
 	c.Assert(a.Started(start, deadly), qt.Equals, crquarantine.Admitted)
+	// A copy that runs beside others when its server learns of the suspect clears nobody.
+	c.Assert(b.Started(start, deadly), qt.Equals, crquarantine.Admitted)
 	b.Merge(start, a.Report(start))
+	b.Finished(start, deadly)
+	c.Check(b.Check(start, deadly), qt.Equals, crquarantine.Exclusive)
 	c.Check(b.Started(start, deadly), qt.Equals, crquarantine.Elsewhere)
 	c.Check(b.ExclusiveServer(start), qt.Equals, "a")
 	c.Check(b.Started(start, other), qt.Equals, crquarantine.Admitted)
