crrecord: check in the model that a late vote changes no decision, measure claims and assignments

Cause: the model's driver itself ignored votes after a decision, so it could not see a claimer that changes its mind. Change: late votes reach the claimer in the model; a benchmark of the assignment at full size.

--- a/pkg/crrecord/bench_test.go
+++ b/pkg/crrecord/bench_test.go
@@ -29,3 +29,14 @@
 	b.ReportMetric(float64(k.Stats().Bytes)/float64(k.Stats().Records), "countedB/record")
 	runtime.KeepAlive(k)
 }
+
+// BenchmarkAssign reports the control leader's cost of a check at full size, 20,000 nodes, when nothing changes.
+func BenchmarkAssign(b *testing.B) {
+	a := Assignment{Live: candidates(20_000, 23)}
+	a.Present = Assign(a)
+	for b.Loop() {
+		if n := len(Assign(a)); n != 0 {
+			b.Fatal(n)
+		}
+	}
+}
--- a/pkg/crrecord/model_test.go
+++ b/pkg/crrecord/model_test.go
@@ -139,6 +139,11 @@
 
 func (m *model) vote(s *modelSend, i int, r Reply) {
 	if s.closed {
+		before := s.claimer.Finish().Code
+		s.claimer.Reply(i, r)
+		if after := s.claimer.Finish().Code; after != before {
+			m.t.Fatalf("%s was told %s, then %s", s.id, before, after)
+		}
 		return
 	}
 	s.claimer.Reply(i, r)
