crspread: make three tests fail without the code that they cover

Cause: on a scratch copy with one line changed at a time, the tests passed without the bound on kept changes, without the lower limit of deltas, without the count of a stopping relay's children and without the version check on unconfirmed offers. Change: the tests check the kept changes with distinct keys, the absence of wrong deltas, the count of lost nodes and the number of joins.

--- a/internal/crspread/core_test.go
+++ b/internal/crspread/core_test.go
@@ -82,6 +82,8 @@
 
 	// The confirmed root goes; the one with the older version must not be taken, even if it claims confirmation.
 	s.kill("good")
+	s.pass(20 * time.Second)
+	c.Assert(s.cores["n"].counts.Joins, qt.Equals, uint64(1))
 	old.confirmed = true
 	s.pass(20 * time.Second)
 	st := s.cores["n"].Status(s.now)
@@ -183,6 +185,8 @@
 				s.step()
 			}
 			s.kill(victim)
+			s.step()
+			c.Assert(root.Progress(s.now).Lost >= len(s.cores[victim].children), qt.IsTrue)
 			v := src.put("k1", "s1", "w")
 			s.after = func() {
 				if root.Progress(s.now).Minimum == v {
@@ -249,13 +253,17 @@
 	}
 	src.put("k1", "s1", "")
 	for i := range 2 * maxChanges {
-		src.put("churn", "s3", fmt.Sprint(i%3))
+		src.put(fmt.Sprint("churn", i), "s3", "x")
+		src.put(fmt.Sprint("churn", i), "s3", "")
 		if i%1000 == 0 {
-			s.pass(50 * time.Millisecond)
+			s.pass(500 * time.Millisecond)
 		}
 	}
+	s.pass(parentTimeout)
 	s.filter = nil
 	s.until(t, 15*time.Second, "caught up", s.inForce(src.Version()))
+	// The nodes came back from before the kept changes, so they needed the whole view and no wrong delta.
+	c.Assert(s.cores["n001"].counts.DigestErrors, qt.Equals, uint64(0))
 	c.Assert(len(s.cores["root"].store.changes) <= maxChanges, qt.IsTrue)
 	s.checkViews(t, src)
 }
