crdirectory: check the grace of lost owners and updates without a change

Cause: on a scratch copy, the tests passed with a grace of 1 s and with updates for entries that only changed their load. Change: both tests check these; the grace is a literal in the test.

--- a/internal/crdirectory/core_test.go
+++ b/internal/crdirectory/core_test.go
@@ -200,7 +200,7 @@
 	c.Assert(b.names("x", "", "s"), qt.HasLen, 9)
 
 	b.PeerLost(t0, "c1")
-	now := pass(b, t0, OwnerGrace-time.Second, nil)
+	now := pass(b, t0, 14*time.Second, nil)
 	c.Assert(b.names("x", "", "s"), qt.HasLen, 9)
 	c.Assert(b.Status().Suspects, qt.Equals, 0)
 	for i := range 8 {
@@ -245,6 +245,10 @@
 	c.Assert(subsets(d.Tick(t0))[0].GetChanged(), qt.HasLen, 3)
 	c.Assert(renew(d, t0, 1), qt.IsNil)
 	c.Assert(subsets(d.Tick(t0)), qt.HasLen, 0)
+	// A changed load is kept and passed on to control instances, but is no reason for an update.
+	c.Assert(d.Renew(t0, &crwire.DirectoryRenew{Node: "n00001", Incarnation: "a", Sequence: 1, Load: 900}), qt.IsNil)
+	c.Assert(d.records["n00001"].GetLoad(), qt.Equals, uint32(900))
+	c.Assert(subsets(d.Tick(t0)), qt.HasLen, 0)
 	now := t0.Add(Lease)
 	for i := range 3 {
 		c.Assert(renew(d, now, i), qt.IsNil)
