cradmission: let a falling level look at the occupancy of the server

The level of a slow ledger fell in doubling steps whenever its queue was short, refused callers came back at once, and their work in the services above was lost again. Change: a falling level steers to 95% of the concurrency limit in use and waits for one run time before the next step.

--- a/internal/crnode/gate.go
+++ b/internal/crnode/gate.go
@@ -91,6 +91,7 @@
 			return
 		}
 		g.limiter.Acquire(now)
+		g.level.Occupied(now, g.limiter.InFlight(), g.limiter.Limit())
 		g.level.Waited(now, it.Wait(now))
 		answerItem(it, verdict{})
 	}
@@ -126,6 +127,7 @@
 		now := time.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		g.level.Occupied(now, g.limiter.InFlight(), g.limiter.Limit())
 		g.limiter.Release(now, s)
 		g.level.Completed(now)
 		g.admit(now)
--- a/pkg/cradmission/level.go
+++ b/pkg/cradmission/level.go
@@ -19,13 +19,20 @@
 	// balance at 24 ms above the target.
 	intake   = 1.03
 	delayCut = 0.25
+	// busyTarget is the part of the concurrency limit in use to which a falling level steers; spareStep is the step that
+	// remains when it is reached, so that a level never sticks.
+	busyTarget = 0.95
+	spareStep  = 0.02
+	// maxStep bounds the growth of the admitted demand in one window.
+	maxStep = 2.0
 	// topKept is the share of the highest group that stays admitted whatever the measurements say.
 	topKept = 0.05
 )
 
 // Level computes the lowest priority that a gate admits. Each window it compares the queue delay with the target:
-// above it, the level rises until the expected arrivals fit the measured capacity; below half of it, the level falls
-// in growing steps; in between it stays, which prevents oscillation.
+// above it, the level rises until the expected arrivals fit the measured capacity; below half of it, the level falls,
+// by no more than the server has room for; in between it stays. Refused callers come back as soon as the level falls, so
+// a step that looks at the queue alone would flood a busy server again and again.
 // Fields are set before use; zero fields mean a window of 200 ms and a target of 15 ms.
 type Level struct {
 	Window time.Duration
@@ -41,6 +48,9 @@
 	arrived   int
 	completed int
 	calm      int     // windows without pressure in a row
+	inFlight  float64 // sums of the samples of Occupied
+	busy      float64
+	samples   int
 	capacity  float64 // completions per second in windows under pressure
 	pressure  float64
 }
@@ -90,6 +100,16 @@
 	l.completed++
 }
 
+// Occupied samples how many runs are in flight and how many may be; call it when one starts or ends.
+func (l *Level) Occupied(now time.Time, inFlight, limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.roll(now)
+	l.inFlight += float64(inFlight)
+	l.busy += float64(inFlight) / float64(max(limit, 1))
+	l.samples++
+}
+
 // Tick ends a window that is over; a gate without traffic calls it so that its level still falls.
 func (l *Level) Tick(now time.Time) {
 	l.mu.Lock()
@@ -163,8 +183,9 @@
 	}
 	elapsed := now.Sub(l.start)
 	if l.calm > 0 && l.Current() > 0 {
-		// While the level falls, half a window is enough and brings goodput back within about a second.
-		window /= 2
+		// While the level falls, half a window is enough and brings goodput back within about a second, but a window
+		// shorter than a run would not see what the last step did.
+		window = max(window/2, min(l.runTime(elapsed), maxFallWindow))
 	}
 	if elapsed < window {
 		return
@@ -184,7 +205,7 @@
 	case l.waits == 0 && l.completed == 0 && l.arrived > 0 && above > 0:
 		// Nothing left the queue and nothing finished: a hang looks like this, so the level stays.
 	case mean <= target/2:
-		l.lower(above, total)
+		l.lower(above, total, l.occupancy())
 	default:
 		l.calm = 0
 	}
@@ -196,9 +217,29 @@
 		g.all, g.admitted, g.probes = 0, 0, 0
 	}
 	l.waitSum, l.waits, l.arrived, l.completed = 0, 0, 0, 0
+	l.inFlight, l.busy, l.samples = 0, 0, 0
 	l.start = now
 }
 
+// maxFallWindow bounds the window in which a level falls.
+const maxFallWindow = 500 * time.Millisecond
+
+// runTime estimates the length of a run from the runs in flight and the completions (Little's law).
+func (l *Level) runTime(elapsed time.Duration) time.Duration {
+	if l.samples == 0 || l.completed == 0 {
+		return 0
+	}
+	return time.Duration(l.inFlight / float64(l.samples) / float64(l.completed) * float64(elapsed))
+}
+
+// occupancy returns the mean part of the limit in use; 0 when nothing ran.
+func (l *Level) occupancy() float64 {
+	if l.samples == 0 {
+		return 0
+	}
+	return l.busy / float64(l.samples)
+}
+
 // share returns which part of a group's priorities the level admits.
 func (l *Level) share(key Priority) float64 {
 	cut := l.Current()
@@ -267,9 +308,9 @@
 	l.admit(min(max(demand, above/2), above))
 }
 
-// lower lets more demand in; each further calm window doubles the step, so that the end of an overload is followed
-// within about a second.
-func (l *Level) lower(above, total float64) {
+// lower lets more demand in, at most what the free part of the limit has room for; each further calm window doubles the
+// step, so that the end of an overload is followed within about a second.
+func (l *Level) lower(above, total, busy float64) {
 	l.calm++
 	if l.Current() == 0 {
 		if l.calm > 10 {
@@ -277,8 +318,13 @@
 		}
 		return
 	}
-	step := min(0.05*float64(int(1)<<min(l.calm-1, 5)), 1)
-	l.admit(max(above*(1+step), step*total, 0.8*l.capacity))
+	step := min(0.05*float64(int(1)<<min(l.calm-1, 5)), maxStep)
+	if busy >= 0.5 {
+		step = min(step, max(busyTarget/busy-1, spareStep))
+		l.admit(max(above*(1+step), 0.8*l.capacity))
+		return
+	}
+	l.admit(max(above*(1+step), min(step, 1)*total, 0.8*l.capacity))
 }
 
 // admit sets the level so that the expected arrivals at or above it come to demand per second. It starts from the
