crnode: let deeper calls and protected requests wait as long as they can still run

Cause: protected pickups were refused after 100 ms in the queue of a route server whose places turn over every 35 ms, and deeper calls were refused at the ledger after their work above was done. Short reads were refused because the expected time was that of the mix. Change: only ordinary requests from an entrance are bounded by queue_time; deeper calls are not refused by the level; the expected time is kept for each kind. The load generator keeps the code of each send.

--- a/internal/crdemo/load.go
+++ b/internal/crdemo/load.go
@@ -110,13 +110,15 @@
 	r.outcome = crcode.NotRun
 	for send := 0; send <= c.Resends; send++ {
 		r.sends++
-		outcome, right := c.send(ctx, r, entrances[send%len(entrances)], body)
+		code, right := c.send(ctx, r, entrances[send%len(entrances)], body)
 		r.wrong = r.wrong || !right
-		if outcome == crcode.Run {
+		r.codes = append(r.codes, code)
+		outcome := code.Outcome()
+		if outcome == crcode.Run && right {
 			r.outcome = crcode.Run
 			break
 		}
-		if outcome == crcode.Unknown {
+		if outcome != crcode.NotRun {
 			r.outcome = crcode.Unknown
 		}
 		if send < c.Resends && !sleep(ctx, c.ResendAfter/2+time.Duration(rnd.Int64N(int64(c.ResendAfter)))) {
@@ -128,43 +130,41 @@
 }
 
 // send makes one send; right is false for an answer that is not the whole answer to this request.
-func (c *Callers) send(ctx context.Context, r request, entrance string, body []byte) (outcome crcode.Outcome, right bool) {
+// The code ConnectionLost also stands for a caller that gave up waiting.
+func (c *Callers) send(ctx context.Context, r request, entrance string, body []byte) (code crcode.Code, right bool) {
 	ctx, cancel := context.WithTimeout(ctx, r.kind.Deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entrance+"/v1/call/"+r.kind.ID(), bytes.NewReader(body))
 	if err != nil {
-		return crcode.NotRun, true
+		return crcode.BadRequest, true
 	}
 	req.Header.Set(crnode.HeaderRequestID, r.id)
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return crcode.Unknown, true
+		return crcode.ConnectionLost, true
 	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return crcode.Unknown, true
+		return crcode.ConnectionLost, true
 	}
-	code, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderCode))
-	if c := crcode.Code(code); c != crcode.OK && c != crcode.Replayed {
-		return c.Outcome(), true
+	number, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderCode))
+	if code = crcode.Code(number); code != crcode.OK && code != crcode.Replayed {
+		return code, true
 	}
 	if resp.StatusCode != http.StatusOK {
 		// The backend server answered that a deeper call failed: the answer is whole but of no use to the caller.
-		return crcode.Unknown, true
+		return crcode.AnswerLost, true
 	}
-	if !bytes.Equal(got, answerFor(r.id, body)) {
-		return crcode.Unknown, false
-	}
-	return crcode.Run, true
+	return code, bytes.Equal(got, answerFor(r.id, body))
 }
 
 // probe sends one request of a kind to an entrance and wants a whole answer.
 func (c *Callers) probe(ctx context.Context, k KindSpec, entrance string) error {
 	now := time.Now()
 	r := request{id: fmt.Sprintf("%s.%d.%016x", c.Prefix[entrance], now.UnixMilli(), c.rnd.Uint64()), kind: k, start: now}
-	if outcome, _ := c.send(ctx, r, entrance, []byte("probe")); outcome != crcode.Run {
-		return fmt.Errorf("outcome %s", outcome)
+	if code, _ := c.send(ctx, r, entrance, []byte("probe")); code != crcode.OK {
+		return fmt.Errorf("code %s", code)
 	}
 	return nil
 }
--- a/internal/crdemo/tally.go
+++ b/internal/crdemo/tally.go
@@ -38,6 +38,8 @@
 	start time.Time
 	end   time.Time
 	sends int
+	// codes are the results of the sends in order.
+	codes []crcode.Code
 	// outcome is that of the request as a whole: Run when one answer was whole, NotRun when every send was refused.
 	outcome crcode.Outcome
 	// wrong is set when an answer was partial or another request's.
--- a/internal/crnode/baseline.go
+++ b/internal/crnode/baseline.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 )
@@ -28,7 +27,7 @@
 // openGate lets every request in at once.
 type openGate struct{}
 
-func (openGate) enter(context.Context, cradmission.Priority, time.Time) (func(crlimiter.Sample), error) {
+func (openGate) enter(context.Context, entry) (func(crlimiter.Sample), error) {
 	return func(crlimiter.Sample) {}, nil
 }
 func (openGate) feedback() crFeedback    { return crFeedback{} }
@@ -53,7 +52,7 @@
 	return g.slots
 }
 
-func (g *fixedGate) enter(ctx context.Context, _ cradmission.Priority, _ time.Time) (func(crlimiter.Sample), error) {
+func (g *fixedGate) enter(ctx context.Context, _ entry) (func(crlimiter.Sample), error) {
 	slots := g.current()
 	t := time.NewTimer(g.maxWait)
 	defer t.Stop()
--- a/internal/crnode/gate.go
+++ b/internal/crnode/gate.go
@@ -14,7 +14,7 @@
 // gate decides which requests reach the backend server beside this node, and when.
 type gate interface {
 	// enter waits for a place; the returned function gives it back. A refusal means that nothing was run.
-	enter(ctx context.Context, p cradmission.Priority, deadline time.Time) (leave func(crlimiter.Sample), err error)
+	enter(ctx context.Context, e entry) (leave func(crlimiter.Sample), err error)
 	// feedback returns the load for answers.
 	feedback() crFeedback
 	// tick removes expired requests and lets the level fall when there is no traffic.
@@ -23,6 +23,15 @@
 	announce(now time.Time, slots int)
 }
 
+// entry is a request that wants a place at a gate.
+type entry struct {
+	priority cradmission.Priority
+	kind     string
+	deadline time.Time
+	// invested is set for a deeper call: refusing it wastes the work that was done above.
+	invested bool
+}
+
 // crFeedback is the load of a gate as it stands on answers and in the dump.
 type crFeedback struct {
 	InFlight    int
@@ -41,7 +50,7 @@
 	limiter *crlimiter.Limiter
 	queue   *cradmission.Queue
 	level   *cradmission.Level
-	// maxWait bounds the time in the queue.
+	// maxWait bounds the time in the queue of an ordinary request that comes from its entrance.
 	maxWait time.Duration
 
 	mu  sync.Mutex
@@ -51,22 +60,24 @@
 func newAdaptiveGate(slots, queueLength int, maxWait time.Duration) *adaptiveGate {
 	return &adaptiveGate{
 		limiter: &crlimiter.Limiter{Slots: slots},
-		queue:   &cradmission.Queue{Length: queueLength, MaxWait: maxWait},
+		queue:   &cradmission.Queue{Length: queueLength, MaxWait: maxDeadline},
 		level:   &cradmission.Level{},
 		maxWait: maxWait,
 		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
-func (g *adaptiveGate) enter(ctx context.Context, p cradmission.Priority, deadline time.Time) (func(crlimiter.Sample), error) {
+func (g *adaptiveGate) enter(ctx context.Context, e entry) (func(crlimiter.Sample), error) {
 	now := time.Now()
-	if !g.level.Arrive(now, p) {
-		return nil, g.overloaded(p, "below the level of this server")
+	if !g.level.Arrive(now, e.priority) && !e.invested {
+		return nil, g.overloaded(e.priority, "below the level of this server")
 	}
-	if need := g.limiter.Expected(g.queue.Ahead(p)); now.Add(need).After(deadline) {
-		return nil, crcode.New(crcode.DeadlineExpired, "%s left, %s expected", deadline.Sub(now).Round(time.Millisecond), need.Round(time.Millisecond))
+	if need := g.limiter.Expected(e.kind, g.queue.Ahead(e.priority)); now.Add(need).After(e.deadline) {
+		// The wait was refused, not spent; the level must see it all the same.
+		g.level.Waited(now, g.maxWait)
+		return nil, crcode.New(crcode.DeadlineExpired, "%s left, %s expected", e.deadline.Sub(now).Round(time.Millisecond), need.Round(time.Millisecond))
 	}
-	item := &cradmission.Item{Priority: p, Deadline: deadline, Value: make(chan verdict, 1)}
+	item := &cradmission.Item{Priority: e.priority, Deadline: g.waitUntil(now, e), Value: make(chan verdict, 1)}
 	g.mu.Lock()
 	refused := g.queue.Push(now, item)
 	g.admit(now)
@@ -77,6 +88,16 @@
 	return g.wait(ctx, item, now)
 }
 
+// waitUntil bounds the wait in the queue. An ordinary request that has cost nothing yet is refused soon, so that its
+// caller can go elsewhere; the others wait as long as they can still be run in time.
+func (g *adaptiveGate) waitUntil(now time.Time, e entry) time.Time {
+	last := e.deadline.Add(-g.limiter.RunTime(e.kind))
+	if e.invested || e.priority.Class() == cradmission.Protected {
+		return last
+	}
+	return earlier(last, now.Add(g.maxWait))
+}
+
 func answerItem(it *cradmission.Item, v verdict) {
 	if ch, ok := it.Value.(chan verdict); ok {
 		ch <- v
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -70,7 +70,7 @@
 
 // enter waits for a place and runs the call in it.
 func (n *Node) enter(ctx context.Context, r *run) (answer, time.Duration) {
-	leave, err := n.gate.enter(ctx, r.priority, r.deadline)
+	leave, err := n.gate.enter(ctx, entry{priority: r.priority, kind: r.kind.Name(), deadline: r.deadline, invested: r.req.GetDepth() > 0})
 	if err != nil {
 		n.Counters.Add("gate_refused", 1)
 		return refusalOf(err), 0
--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -66,6 +66,8 @@
 	seconds float64
 	n       int
 	at      time.Time
+	// latency is a short-term mean of the whole latency, calls to other services included.
+	latency time.Duration
 }
 
 // maxKinds bounds the kinds whose usual time is kept; the others share one entry.
@@ -74,9 +76,8 @@
 // usualPeriod is the time in which the usual time of a kind follows a change; it is much longer than a window.
 const usualPeriod = time.Minute
 
-// usual returns the usual time of a kind in seconds and lets own change it slowly, so that two neighbouring windows are
-// measured against the same value.
-func (l *Limiter) usual(now time.Time, kind string, own float64) float64 {
+// usual returns the times of a kind.
+func (l *Limiter) usual(now time.Time, kind string) *usualTime {
 	if l.kinds == nil {
 		l.kinds = make(map[string]*usualTime)
 	}
@@ -89,11 +90,16 @@
 		u = &usualTime{at: now}
 		l.kinds[kind] = u
 	}
+	return u
+}
+
+// observe changes the usual time slowly, so that two neighbouring windows are measured against the same value.
+func (u *usualTime) observe(now time.Time, own float64, latency time.Duration) {
 	u.n++
 	weight := max(1/float64(u.n), min(now.Sub(u.at).Seconds()/usualPeriod.Seconds(), 1))
 	u.seconds += (own - u.seconds) * weight
 	u.at = now
-	return u.seconds
+	u.latency += (latency - u.latency) / time.Duration(min(u.n, 16))
 }
 
 // window collects one measurement at one limit.
@@ -135,11 +141,13 @@
 			l.good, l.state = 0, search{}
 		}
 		l.observe(s.Latency)
+		own := max(s.Latency-s.Elsewhere, 0).Seconds()
+		u := l.usual(now, s.Kind)
+		u.observe(now, own, s.Latency)
 		if !now.Before(w.settle) {
 			w.success++
-			own := max(s.Latency-s.Elsewhere, 0).Seconds()
 			w.own += own
-			w.work += l.usual(now, s.Kind, own)
+			w.work += u.seconds
 		}
 	case Refused:
 		// One cut per window: all requests in flight may be refused for the same reason.
@@ -208,14 +216,28 @@
 	return View{l.Slots, limit, l.inFlight, l.service, l.queued, l.state.probing, l.good > 0}
 }
 
-// Expected returns the time that a request behind ahead queued ones is expected to need, its own run included.
-func (l *Limiter) Expected(ahead int) time.Duration {
+// Expected returns the time that a request of a kind behind ahead queued ones is expected to need, its own run included.
+func (l *Limiter) Expected(kind string, ahead int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	limit := max(l.limit, 1)
 	free := max(limit-l.inFlight, 0)
 	rounds := float64(max(ahead+1-free, 0)) / float64(limit)
-	return l.service + time.Duration(rounds*float64(l.service))
+	return l.run(kind) + time.Duration(rounds*float64(l.service))
+}
+
+// RunTime returns the typical latency of a successful run of a kind, or of any run while the kind is unknown.
+func (l *Limiter) RunTime(kind string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.run(kind)
+}
+
+func (l *Limiter) run(kind string) time.Duration {
+	if u, ok := l.kinds[kind]; ok {
+		return u.latency
+	}
+	return l.service
 }
 
 // Announce takes new announced slots; a changed number starts a new search there.
--- a/pkg/crlimiter/crlimiter_test.go
+++ b/pkg/crlimiter/crlimiter_test.go
@@ -25,7 +25,7 @@
 	now = now.Add(20 * time.Millisecond)
 	limiter.Release(now, crlimiter.Sample{Latency: 20 * time.Millisecond, Result: crlimiter.Success})
 	fmt.Println("in flight", limiter.InFlight(), "of", limiter.Limit())
-	fmt.Println("expected behind one other:", limiter.Expected(1))
+	fmt.Println("expected behind one other:", limiter.Expected("read", 1))
 	// Output:
 	// request 0 admitted true
 	// request 1 admitted true
@@ -209,7 +209,7 @@
 			for n := range 1000 {
 				now := t0.Add(time.Duration(n) * time.Millisecond)
 				if l.Acquire(now) {
-					l.Expected(1)
+					l.Expected("read", 1)
 					l.Release(now, crlimiter.Sample{Latency: time.Millisecond})
 				}
 			}
