crnode: weigh worth against the time that a request holds places

The lower probes of the limiter also took a fifth of a slow ledger's throughput for five seconds. Change: within a class the priority is worth over the kind's run time, a power of two in milliseconds with hysteresis, computed once at the entrance. A lower probe of the limiter ends after 50 answers when it plainly costs throughput, and settled searches probe every 10 s.

--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -159,6 +159,9 @@
 	}
 	if crcode.Code(resp.GetCode()) == crcode.OK {
 		n.reach.Learn(now, kindName(c.kind), resp.GetReached())
+		if c.depth == 0 {
+			n.runTimes.learn(kindName(c.kind), time.Duration(resp.GetServiceTimeUs())*time.Microsecond)
+		}
 	}
 }
 
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -53,6 +53,7 @@
 	executions executions
 	places     cradmission.Places
 	shedKinds  shedCounts
+	runTimes   runTimes
 	work       workCount
 	arrivals   *crbudget.HomeCounter
 	levels     *cradmission.LevelTable
--- a/internal/crnode/entrance.go
+++ b/internal/crnode/entrance.go
@@ -45,7 +45,7 @@
 		return
 	}
 	c := outcall{
-		id: id.String(), rootID: id.String(), kind: kind, priority: kind.priority(id.String()), contentType: h.contentType,
+		id: id.String(), rootID: id.String(), kind: kind, priority: n.priority(kind, id.String()), contentType: h.contentType,
 		deadline: now.Add(shorter(h.deadline, kind.Deadline())),
 	}
 	a := n.admitted(w, r, id, c)
--- a/internal/crnode/service.go
+++ b/internal/crnode/service.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crconfig"
-	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -17,15 +16,6 @@
 // kindInfo is a request kind with what a node derives from it.
 type kindInfo struct{ *crconfig.Kind }
 
-// priority returns the priority of a root request of the kind.
-func (k kindInfo) priority(rootID string) cradmission.Priority {
-	class := cradmission.Ordinary
-	if k.Protected() {
-		class = cradmission.Protected
-	}
-	return cradmission.NewPriority(class, uint32(k.Worth()), rootID)
-}
-
 // kind returns a kind of the configuration in force.
 func (n *Node) kind(service, name string) (kindInfo, error) {
 	if n.view.Version() == (crconfig.Version{}) {
--- a/pkg/crlimiter/search.go
+++ b/pkg/crlimiter/search.go
@@ -9,6 +9,8 @@
 	// minSuccess is the number of answers that a window needs; with exponential service times 200 answers give the mean
 	// within about 7%.
 	minSuccess = 200
+	// earlySuccess is the number of answers after which a lower probe ends that plainly costs throughput.
+	earlySuccess = 50
 	// maxWindow bounds a window in time; one that stays short of answers is started again.
 	maxWindow = 5 * time.Second
 	// A probe is decided by the part of the additional concurrency that only waited inside the server.
@@ -16,9 +18,9 @@
 	mostlyWaited = 0.8
 	// firstStep is the share by which the first lower probe cuts; it stands well above the noise of two windows.
 	firstStep = 0.2
-	// probeEvery is the pause between probes once a search has settled; a lower probe costs up to 10% of the
-	// throughput for about 150 ms.
-	probeEvery = 2 * time.Second
+	// probeEvery is the pause between probes once a search has settled; a lower probe costs up to 20% of the
+	// throughput for 50 answers.
+	probeEvery = 10 * time.Second
 	// bound is the share of the limit that must be in flight on average for a window to tell about the limit.
 	bound = 0.85
 	// headroom above the estimated concurrency covers gaps between a release and the next start.
@@ -53,6 +55,13 @@
 		return
 	}
 	length := now.Sub(w.settle)
+	if l.probing() && w.success >= earlySuccess && w.success < minSuccess && length >= max(minWindow, l.service) && l.costly(length) {
+		// All of the higher concurrency was worked on; the limit goes back before the probe costs more.
+		l.state.probing = false
+		l.restart(now, 0)
+		l.accept(now, l.state.base.limit, true)
+		return
+	}
 	if length < max(minWindow, l.service+l.service/2) || w.success < minSuccess || w.work == 0 {
 		if length > max(maxWindow, 4*l.service) {
 			l.restart(now, 0)
@@ -86,6 +95,16 @@
 	l.probe(now)
 }
 
+// probing reports whether the present window is a lower probe.
+func (l *Limiter) probing() bool { return l.state.probing && !l.state.up }
+
+// costly reports whether the work done in a lower probe fell by about as much as the limit did.
+func (l *Limiter) costly(length time.Duration) bool {
+	base := l.state.base
+	cut := 1 - float64(l.limit)/float64(base.limit)
+	return l.window.work/length.Seconds() < base.work*(1-cut*(1-mostlyWorked))
+}
+
 // hung lowers the limit when only timeouts come, and keeps the former limit for the first success.
 func (l *Limiter) hung(now time.Time) bool {
 	w := &l.window
