cradmission, crrouter: fade expired levels and take the median of a service

The level of a service was the lowest of its servers, so entrances let in what three of four servers refuse, and a level expired at once at entrances that refuse everything and so get no answer. Change: the level of a service is the median of its servers; an expired level gives way over 2 s by the hash of the request; a level that is gone travels on answers for 3 s. The test of expiry now checks both ends and the middle of the fade in place of one moment.

--- a/pkg/cradmission/queue_test.go
+++ b/pkg/cradmission/queue_test.go
@@ -198,13 +198,32 @@
 	c.Assert(table.Admits(t0, "old", low), qt.IsTrue)
 	c.Assert(table.AppendAnswer(t0.Add(10*time.Millisecond), nil), qt.DeepEquals,
 		[]cradmission.LevelEntry{{Service: "ledger", Priority: high, Age: 310 * time.Millisecond}})
-	c.Assert(table.Admits(t0.Add(700*time.Millisecond), "ledger", low), qt.IsTrue)
+	c.Assert(table.Admits(t0.Add(690*time.Millisecond), "ledger", low), qt.IsFalse)
+	c.Assert(table.Level(t0.Add(700*time.Millisecond), "ledger", ""), qt.Equals, cradmission.Priority(0))
+	c.Assert(fading(&table, t0.Add(690*time.Millisecond)), qt.Equals, 0)
+	half := fading(&table, t0.Add(1700*time.Millisecond))
+	c.Assert(half > 400 && half < 600, qt.IsTrue, qt.Commentf("%d of 1000 admitted in the middle of the fade", half))
+	c.Assert(fading(&table, t0.Add(2700*time.Millisecond)), qt.Equals, 1000)
 	for i := range 3000 {
 		table.Learn(t0, cradmission.LevelEntry{Service: fmt.Sprint(i), Priority: high})
 	}
 	c.Assert(table.AppendAnswer(t0.Add(time.Millisecond*100), nil), qt.HasLen, cradmission.MaxLevels)
 }
 
+// fading counts how many of 1000 requests below the level are admitted.
+func fading(table *cradmission.LevelTable, now time.Time) int {
+	admitted := 0
+	for i, n := 0, 0; n < 1000; i++ {
+		if p := cradmission.NewPriority(0, 1, fmt.Sprint("id", i)); !p.Probe() {
+			n++
+			if table.Admits(now, "ledger", p) {
+				admitted++
+			}
+		}
+	}
+	return admitted
+}
+
 // Guards against an entrance that starts requests which are refused below, or refuses for a service that is rarely
 // reached or no longer sheds.
 func TestReachRefusesBelowDeepLevel(t *testing.T) {
@@ -227,6 +246,8 @@
 	service, at, refused := reach.Refuses(t0, "route/read", p, &table)
 	c.Assert(refused && service == "ledger" && at == level, qt.IsTrue)
 	_, _, refused = reach.Refuses(t0.Add(time.Second), "route/read", p, &table)
+	c.Assert(refused, qt.IsTrue)
+	_, _, refused = reach.Refuses(t0.Add(3*time.Second), "route/read", p, &table)
 	c.Assert(refused, qt.IsFalse)
 	c.Assert(reach.Of(t0.Add(2*time.Minute), "route/read"), qt.HasLen, 0)
 }
--- a/pkg/cradmission/table.go
+++ b/pkg/cradmission/table.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// LevelExpiry is how long a learned level holds; without news a service counts as free again.
+	// LevelExpiry is how long a learned level holds without news.
 	LevelExpiry = time.Second
+	// LevelFade is how long an expired level gives way: requests below it are let through in growing part, by their hash.
+	// Where all requests for a service are refused no answer brings news, and without the fade they would all be let
+	// through at once when the level expires.
+	LevelFade = 2 * time.Second
 	// MaxLevels bounds the levels on one answer.
 	MaxLevels = 16
 	// answerRefresh is how often the levels for answers are collected again, which keeps the cost per answer small.
@@ -30,6 +34,8 @@
 type levelValue struct {
 	priority Priority
 	at       time.Time
+	// raised is when the level was last above zero; the news that it is gone travels on answers for a while.
+	raised time.Time
 }
 
 // LevelTable keeps the levels that a node learned from answers. Max is set before use; zero means 1,024 levels.
@@ -48,7 +54,7 @@
 	if age >= LevelExpiry {
 		return
 	}
-	key, v := levelKey{e.Service, e.Server}, levelValue{e.Priority, now.Add(-age)}
+	key, v := levelKey{e.Service, e.Server}, levelValue{priority: e.Priority, at: now.Add(-age)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.levels[key]
@@ -68,6 +74,10 @@
 	if t.levels == nil {
 		t.levels = make(map[levelKey]levelValue)
 	}
+	v.raised = old.raised
+	if v.priority > 0 {
+		v.raised = v.at
+	}
 	// A level of zero is kept as well, so that an older, higher one cannot come back.
 	t.levels[key] = v
 }
@@ -83,6 +93,13 @@
 	return v.priority
 }
 
+// held returns the level of a service whatever its age.
+func (t *LevelTable) held(service string) Priority {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.levels[levelKey{service, ""}].priority
+}
+
 // View returns all valid levels in order of service and server, for dumps.
 func (t *LevelTable) View(now time.Time) []LevelEntry {
 	t.mu.RLock()
@@ -101,7 +118,17 @@
 
 // Admits reports whether a request of priority p may be sent to the service; probes always may.
 func (t *LevelTable) Admits(now time.Time, service string, p Priority) bool {
-	return p.Probe() || p >= t.Level(now, service, "")
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	v, ok := t.levels[levelKey{service, ""}]
+	if !ok || p >= v.priority || p.Probe() {
+		return true
+	}
+	late := now.Sub(v.at) - LevelExpiry
+	if late <= 0 {
+		return false
+	}
+	return float64(p&(hashSpace-1)) >= (1-late.Seconds()/LevelFade.Seconds())*hashSpace
 }
 
 // AppendAnswer appends the service levels for an answer, at most MaxLevels, the freshest first.
@@ -118,7 +145,7 @@
 	t.purge(now)
 	t.answer, t.answered = t.answer[:0], now
 	for k, v := range t.levels {
-		if k.server == "" && v.priority > 0 {
+		if k.server == "" && now.Sub(v.at) < LevelExpiry && (v.priority > 0 || now.Sub(v.raised) < LevelExpiry+LevelFade) {
 			t.answer = append(t.answer, LevelEntry{Service: k.service, Priority: v.priority, Age: now.Sub(v.at)})
 		}
 	}
@@ -139,7 +166,7 @@
 
 func (t *LevelTable) purge(now time.Time) {
 	for k, v := range t.levels {
-		if now.Sub(v.at) >= LevelExpiry {
+		if now.Sub(v.at) >= LevelExpiry+LevelFade {
 			delete(t.levels, k)
 		}
 	}
@@ -254,7 +281,7 @@
 		if k.shares[i] < likely {
 			continue
 		}
-		if l := t.Level(now, s, ""); p < l && l > level {
+		if l := t.held(s); l > level && !t.Admits(now, s, p) {
 			service, level, refused = s, l, true
 		}
 	}
--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -154,17 +154,22 @@
 	r.judge(now, s, res)
 }
 
-// Level returns the lowest level among the servers in use, for the answers of this node; zero when one admits all.
+// Level returns the median level of the servers in use, the lower one of two, for the answers of this node. The lowest
+// would send to one server what all of them refuse.
 func (r *Router) Level(now time.Time) cradmission.Priority {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lowest, found := cradmission.Priority(0), false
+	levels := make([]cradmission.Priority, 0, MaxServers)
 	for _, s := range r.servers {
-		if l := s.level(now); !s.ejected && (!found || l < lowest) {
-			lowest, found = l, true
+		if !s.ejected {
+			levels = append(levels, s.level(now))
 		}
 	}
-	return lowest
+	if len(levels) == 0 {
+		return 0
+	}
+	slices.Sort(levels)
+	return levels[(len(levels)-1)/2]
 }
 
 // View is the state of one server, for dumps.
