crnode: make room for protected requests that would miss their deadline

Cause: 2 to 5% of the protected requests failed in the first second of the fault. The places of route servers were held by plans that waited up to a whole deadline for the slow ledger, so pickups started too late. Ruled out: the queue order (pickups stood first) and the ledger (its places turn over every 22 ms). Change: a protected request that has waited a third of its slack stops the ordinary, repeatable run that started last; the caller of that run is told "preempted", outcome unknown.

--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -255,7 +255,7 @@
 	case crcode.Cancelled, crcode.CancelledRun:
 		return crrouter.Cancelled
 	}
-	if a.code.Outcome() == crcode.NotRun || slices.Contains([]crcode.Code{crcode.InProgress, crcode.IDTooOld, crcode.AnswerNotKept}, a.code) {
+	if a.code.Outcome() == crcode.NotRun || slices.Contains([]crcode.Code{crcode.InProgress, crcode.Preempted, crcode.IDTooOld, crcode.AnswerNotKept}, a.code) {
 		return crrouter.Refused
 	}
 	return crrouter.Failed
--- a/internal/crnode/gate.go
+++ b/internal/crnode/gate.go
@@ -30,6 +30,8 @@
 	deadline time.Time
 	// invested is set for a deeper call: refusing it wastes the work that was done above.
 	invested bool
+	// preempt, when set, stops the run to make room for a protected request.
+	preempt func()
 }
 
 // crFeedback is the load of a gate as it stands on answers and in the dump.
@@ -55,14 +57,32 @@
 
 	mu  sync.Mutex
 	rnd *rand.Rand
+	// running holds the runs in flight that may be preempted.
+	running map[*admitted]struct{}
 }
 
+// admitted is a run in flight.
+type admitted struct {
+	start   time.Time
+	preempt func()
+}
+
+const (
+	// preemptPart is the part of its slack that a protected request waits before an ordinary run makes room for it. Runs
+	// that wait for a slow deeper service hold their places for up to a whole deadline; a shorter patience would stop runs
+	// whose places become free in time anyway.
+	preemptPart = 3
+	// minPatience keeps ordinary turnover from being taken for a blocked server.
+	minPatience = 20 * time.Millisecond
+)
+
 func newAdaptiveGate(slots, queueLength int, maxWait time.Duration) *adaptiveGate {
 	return &adaptiveGate{
 		limiter: &crlimiter.Limiter{Slots: slots},
 		queue:   &cradmission.Queue{Length: queueLength, MaxWait: maxDeadline},
 		level:   &cradmission.Level{},
 		maxWait: maxWait,
+		running: make(map[*admitted]struct{}),
 		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -85,7 +105,7 @@
 	if refused != nil {
 		answerItem(refused, verdict{g.overloaded(refused.Priority, "the queue is full")})
 	}
-	return g.wait(ctx, item, now)
+	return g.wait(ctx, item, now, e)
 }
 
 // waitUntil bounds the wait in the queue. An ordinary request that has cost nothing yet is refused soon, so that its
@@ -118,36 +138,74 @@
 	}
 }
 
-func (g *adaptiveGate) wait(ctx context.Context, item *cradmission.Item, queued time.Time) (func(crlimiter.Sample), error) {
+func (g *adaptiveGate) wait(ctx context.Context, item *cradmission.Item, queued time.Time, e entry) (func(crlimiter.Sample), error) {
 	ch, _ := item.Value.(chan verdict)
-	select {
-	case v := <-ch:
-		return g.entered(v, queued)
-	case <-ctx.Done():
+	patience := max(item.Deadline.Sub(queued)/preemptPart, minPatience)
+	impatient := time.NewTimer(patience)
+	defer impatient.Stop()
+	for {
+		select {
+		case v := <-ch:
+			return g.entered(v, queued, e)
+		case <-impatient.C:
+			if e.priority.Class() == cradmission.Protected {
+				g.preempt()
+			}
+			impatient.Reset(patience)
+			continue
+		case <-ctx.Done():
+		}
+		return nil, g.gaveUp(item, ch, queued, e)
 	}
+}
+
+// gaveUp takes an item out of the queue; a place that was granted at the same moment is given back.
+func (g *adaptiveGate) gaveUp(item *cradmission.Item, ch chan verdict, queued time.Time, e entry) error {
 	g.mu.Lock()
 	waiting := g.queue.Remove(item)
 	g.mu.Unlock()
 	if !waiting {
-		// The verdict was given at the same time; a granted place must be used or given back.
-		leave, err := g.entered(<-ch, queued)
-		if err == nil {
+		if leave, err := g.entered(<-ch, queued, e); err == nil {
 			leave(crlimiter.Sample{Result: crlimiter.Cancelled})
 		}
 	}
-	return nil, crcode.New(crcode.Cancelled, "while waiting for a place")
+	return crcode.New(crcode.Cancelled, "while waiting for a place")
+}
+
+// preempt stops the run that started last, since the least work is lost with it; its place goes to the first of the queue.
+func (g *adaptiveGate) preempt() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var last *admitted
+	for r := range g.running {
+		if last == nil || r.start.After(last.start) {
+			last = r
+		}
+	}
+	if last != nil {
+		delete(g.running, last)
+		last.preempt()
+	}
 }
 
-func (g *adaptiveGate) entered(v verdict, queued time.Time) (func(crlimiter.Sample), error) {
+func (g *adaptiveGate) entered(v verdict, queued time.Time, e entry) (func(crlimiter.Sample), error) {
 	if v.err != nil {
 		return nil, v.err
 	}
-	wait := time.Since(queued)
+	start := time.Now()
+	wait := start.Sub(queued)
+	r := &admitted{start: start, preempt: e.preempt}
+	if e.preempt != nil {
+		g.mu.Lock()
+		g.running[r] = struct{}{}
+		g.mu.Unlock()
+	}
 	return func(s crlimiter.Sample) {
 		s.Queued = wait
 		now := time.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		delete(g.running, r)
 		g.level.Occupied(now, g.limiter.InFlight(), g.limiter.Limit())
 		g.limiter.Release(now, s)
 		g.level.Completed(now)
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/crc32"
 	"slices"
 	"time"
@@ -70,7 +71,14 @@
 
 // enter waits for a place and runs the call in it.
 func (n *Node) enter(ctx context.Context, r *run) (answer, time.Duration) {
-	leave, err := n.gate.enter(ctx, entry{priority: r.priority, kind: r.kind.Name(), deadline: r.deadline, invested: r.req.GetDepth() > 0})
+	e := entry{priority: r.priority, kind: r.kind.Name(), deadline: r.deadline, invested: r.req.GetDepth() > 0}
+	if r.kind.Repeatable() && r.priority.Class() == cradmission.Ordinary {
+		var stop context.CancelCauseFunc
+		ctx, stop = context.WithCancelCause(ctx)
+		defer stop(nil)
+		e.preempt = func() { stop(errPreempted) }
+	}
+	leave, err := n.gate.enter(ctx, e)
 	if err != nil {
 		n.Counters.Add("gate_refused", 1)
 		return refusalOf(err), 0
@@ -83,12 +91,19 @@
 	}
 	start := time.Now()
 	a := n.inPlace(ctx, r)
+	if context.Cause(ctx) == errPreempted && a.code != crcode.OK {
+		n.Counters.Add("preempted", 1)
+		a = answer{code: crcode.Preempted, retryAfter: cradmission.MinRetryAfter}
+	}
 	spent := time.Since(start)
 	leave(crlimiter.Sample{Kind: r.kind.Name(), Latency: spent, Elsewhere: r.elsewhere, Result: measured(a)})
 	a.reached = r.reached
 	return a, spent
 }
 
+// errPreempted is the cause of a run that made room for a protected request.
+var errPreempted = errors.New("preempted")
+
 // measured tells the limiter how a run ended.
 func measured(a answer) crlimiter.Result {
 	switch a.code {
@@ -99,7 +114,7 @@
 		return crlimiter.Success
 	case crcode.DeadlineRunning:
 		return crlimiter.Timeout
-	case crcode.Cancelled, crcode.CancelledRun, crcode.Replayed, crcode.InProgress:
+	case crcode.Cancelled, crcode.CancelledRun, crcode.Replayed, crcode.InProgress, crcode.Preempted:
 		return crlimiter.Cancelled
 	case crcode.ServerRefused:
 		if a.detail != "" {
--- a/pkg/crcode/table.go
+++ b/pkg/crcode/table.go
@@ -48,6 +48,7 @@
 	AnswerTooLarge  Code = 306
 	AnswerTruncated Code = 307
 	CancelledRun    Code = 308
+	Preempted       Code = 309
 )
 
 // Codes of operator commands.
@@ -132,6 +133,7 @@
 	{AnswerTooLarge, "answer_too_large", Run, http.StatusBadGateway, "The request ran, but its answer is larger than the node allows."},
 	{AnswerTruncated, "answer_truncated", Unknown, http.StatusBadGateway, "The backend server sent only a part of its answer. Send the request again with the same id."},
 	{CancelledRun, "cancelled_run", Unknown, 499, "The caller went away while the request ran."},
+	{Preempted, "preempted", Unknown, http.StatusServiceUnavailable, "The request was stopped to make room for a protected one. Send it again after Retry-After with the same id."},
 	{Syntax, "syntax", NotRun, http.StatusBadRequest, "The command is malformed. See the grammar in docs/operators.md."},
 	{BadCharacter, "bad_character", NotRun, http.StatusBadRequest, "The command has a character that is not allowed. Type it again with plain ASCII."},
 	{UnknownCommand, "unknown_command", NotRun, http.StatusBadRequest, "No such command. Type help."},
