--- /dev/null
+++ b/internal/crnode/main_test.go
@@ -0,0 +1,13 @@
+package crnode_test
+
+import (
+	"net/http"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fails when a node, a control instance or a backend server leaves a goroutine behind.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) { http.DefaultClient.CloseIdleConnections() }))
+}
--- /dev/null
+++ b/internal/crtest/client.go
@@ -0,0 +1,143 @@
+package crtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Request is one send of a caller; zero fields are left out.
+type Request struct {
+	ID       string
+	Body     []byte
+	Deadline time.Duration
+}
+
+// Reply is what the caller got; Err is set when there was no whole answer.
+type Reply struct {
+	Code     crcode.Code
+	Outcome  string
+	Status   int
+	Attempts int
+	ID       string
+	Body     string
+	Err      error
+}
+
+// NewID makes an id whose home is the node.
+func (n *Node) NewID() string { return n.IDAt(time.Now()) }
+
+// IDAt makes an id with a creation time.
+func (n *Node) IDAt(created time.Time) string {
+	return fmt.Sprintf("%s.%d.%016x", n.Prefix(), created.UnixMilli(), rand.Uint64())
+}
+
+// Send makes one send to a node and waits for its end.
+func (k *Cluster) Send(n *Node, kind string, r Request) Reply {
+	return k.SendContext(context.Background(), n, kind, r)
+}
+
+// SendContext is Send by a caller that goes away when ctx ends.
+func (k *Cluster) SendContext(ctx context.Context, n *Node, kind string, r Request) Reply {
+	h := http.Header{}
+	if r.ID != "" {
+		h.Set(crnode.HeaderRequestID, r.ID)
+	}
+	if r.Deadline > 0 {
+		h.Set(crnode.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	ctx, cancel := context.WithTimeout(ctx, Deadline)
+	defer cancel()
+	return post(ctx, k.Client, n.Settings.Listen, kind, h, r.Body)
+}
+
+func post(ctx context.Context, c *http.Client, addr, kind string, h http.Header, body []byte) Reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/call/"+kind, bytes.NewReader(body))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	for name, v := range h {
+		req.Header[name] = v
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	code, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderCode))
+	attempts, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderAttempts))
+	return Reply{
+		Code: crcode.Code(code), Outcome: resp.Header.Get(crnode.HeaderOutcome), Status: resp.StatusCode, Attempts: attempts,
+		ID: resp.Header.Get(crnode.HeaderRequestID), Body: string(got), Err: err,
+	}
+}
+
+// Dump is the part of a node's state dump that tests look at.
+type Dump struct {
+	Config struct {
+		Version     string `json:"version"`
+		Confirmed   bool   `json:"confirmed"`
+		ConfirmedMS int64  `json:"confirmed_age_ms"`
+		Refused     uint64 `json:"refused_older"`
+	} `json:"config"`
+	Gate struct {
+		InFlight int    `json:"in_flight"`
+		Limit    int    `json:"limit"`
+		Queued   int    `json:"queued"`
+		Level    uint64 `json:"level"`
+		Running  int    `json:"running"`
+	} `json:"gate"`
+	Entrance struct {
+		Ordinary  int `json:"ordinary_places"`
+		Protected int `json:"protected_places"`
+	} `json:"entrance"`
+	Keeper struct {
+		Groups  int `json:"groups"`
+		Active  int `json:"active_groups"`
+		Records int `json:"records"`
+	} `json:"keeper"`
+	Stopping bool `json:"stopping"`
+	Services []struct {
+		Service string       `json:"service"`
+		Servers []DumpServer `json:"servers"`
+	} `json:"services"`
+}
+
+// DumpServer is one server that a node knows.
+type DumpServer struct {
+	Node     string `json:"node"`
+	Ejected  bool   `json:"ejected"`
+	InFlight int    `json:"in_flight"`
+}
+
+// Servers returns the servers of a service that the node knows.
+func (d Dump) Servers(service string) []DumpServer {
+	for _, s := range d.Services {
+		if s.Service == service {
+			return s.Servers
+		}
+	}
+	return nil
+}
+
+// Dump reads the node's state dump.
+func (n *Node) Dump() Dump {
+	var d Dump
+	resp, err := n.cluster.Client.Get("http://" + n.Settings.Admin + "/v1/dump")
+	n.cluster.C.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	n.cluster.C.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
+	return d
+}
--- /dev/null
+++ b/internal/crtest/server.go
@@ -0,0 +1,226 @@
+package crtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crnode"
+)
+
+// Ledger counts what the backend servers ran.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: map[string]int{}} }
+
+func (l *Ledger) add(keys ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range keys {
+		l.runs[k]++
+	}
+}
+
+// Of returns how often a kind ran under a root id, or, with an empty kind, how often anything did.
+func (l *Ledger) Of(kind, root string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[kind+" "+root]
+}
+
+// Server is a backend server whose behaviour a test sets.
+type Server struct {
+	Name    string
+	Address string
+
+	cluster  *Cluster
+	spec     Service
+	node     string
+	instance string
+	handle   atomic.Pointer[func(*Run)]
+	state    atomic.Value
+	mute     atomic.Bool
+	ln       net.Listener
+	srv      *http.Server
+	client   *http.Client
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	dead     atomic.Bool
+}
+
+// Run is one request at a backend server.
+type Run struct {
+	W      http.ResponseWriter
+	R      *http.Request
+	ID     string
+	Kind   string
+	Body   []byte
+	Server *Server
+}
+
+var instances atomic.Int64
+
+func startServer(k *Cluster, spec Service, node, name string, handle func(*Run)) *Server {
+	ln := k.listen()
+	s := &Server{
+		Name: name, Address: ln.Addr().String(), cluster: k, spec: spec, node: node, instance: fmt.Sprintf("%s-%d", name, instances.Add(1)), ln: ln,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	s.handle.Store(&handle)
+	s.state.Store(crnode.StateServing)
+	s.srv = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 5 * time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.wg.Add(2)
+	go func() {
+		defer s.wg.Done()
+		_ = s.srv.Serve(ln)
+	}()
+	go func() {
+		defer s.wg.Done()
+		s.announceLoop(ctx)
+	}()
+	return s
+}
+
+// Handle changes what the server does.
+func (s *Server) Handle(f func(*Run)) { s.handle.Store(&f) }
+
+// Mute stops the announcements, as when they are lost.
+func (s *Server) Mute() { s.mute.Store(true) }
+
+// Leave announces that the server takes no new work.
+func (s *Server) Leave() {
+	s.state.Store(crnode.StateLeaving)
+	s.announce(context.Background())
+}
+
+// Crash ends the server at once, from one of its own requests too.
+func (s *Server) Crash() {
+	if s.dead.Swap(true) {
+		return
+	}
+	s.cancel()
+	_ = s.srv.Close()
+}
+
+// Dead reports whether the server crashed.
+func (s *Server) Dead() bool { return s.dead.Load() }
+
+// Kill ends the server at once and waits for its goroutines.
+func (s *Server) Kill() {
+	s.Crash()
+	s.wg.Wait()
+	s.client.CloseIdleConnections()
+}
+
+// Stop is a planned stop: leaving is announced, then requests in flight end.
+func (s *Server) Stop() {
+	s.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), Deadline)
+	defer cancel()
+	s.cluster.C.Check(s.srv.Shutdown(ctx), qt.IsNil)
+	s.dead.Store(true)
+	s.cancel()
+	s.wg.Wait()
+	s.client.CloseIdleConnections()
+}
+
+func (s *Server) announceLoop(ctx context.Context) {
+	t := time.NewTicker(200 * time.Millisecond)
+	defer t.Stop()
+	for {
+		if !s.mute.Load() {
+			s.announce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Server) announce(ctx context.Context) {
+	state, _ := s.state.Load().(string)
+	body, _ := json.Marshal(crnode.Announcement{
+		Service: s.spec.Name, Address: s.Address, Instance: s.instance, Slots: s.spec.Slots, Connections: 100, State: state,
+	})
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.node+"/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if resp, err := s.client.Do(req); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run := &Run{W: w, R: r, ID: r.Header.Get(crnode.HeaderRequestID), Kind: s.spec.Name + r.URL.Path, Body: body, Server: s}
+	s.cluster.Ledger.add(" "+run.Root(), run.Kind+" "+run.Root(), run.Kind+" "+s.Name)
+	(*s.handle.Load())(run)
+}
+
+// Root is the id of the request that the caller sent.
+func (r *Run) Root() string {
+	root, _, _ := strings.Cut(r.ID, "/")
+	return root
+}
+
+// Want is the only right answer to a request of a caller.
+func Want(id string, body []byte) string {
+	return fmt.Sprintf("answer to %s of %d bytes, checksum %08x", id, len(body), crc32.ChecksumIEEE(body))
+}
+
+// Answer answers the request whole.
+func (r *Run) Answer() { _, _ = io.WriteString(r.W, Want(r.ID, r.Body)) }
+
+// Crash makes the server die while it runs this request.
+func (r *Run) Crash() {
+	go r.Server.Crash()
+	<-r.R.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// Drop closes the connection without an answer; the server lives on.
+func (r *Run) Drop() { panic(http.ErrAbortHandler) }
+
+// Deeper makes one deeper call through the node beside the server.
+func (r *Run) Deeper(kind, key string) Reply {
+	h := http.Header{crnode.HeaderContext: {r.R.Header.Get(crnode.HeaderContext)}}
+	if key != "" {
+		h.Set(crnode.HeaderCallKey, key)
+	}
+	return post(r.R.Context(), r.Server.client, r.Server.node, kind, h, r.Body)
+}
+
+// Refuse passes a refused deeper call on as a refusal of this run.
+func (r *Run) Refuse(code string) {
+	r.W.Header().Set(crnode.HeaderOutcome, "not_run")
+	if code != "" {
+		r.W.Header().Set(crnode.HeaderCode, code)
+	}
+	r.W.WriteHeader(http.StatusServiceUnavailable)
+}
