crnode: a refused retry does not hide an attempt that ran

Ruled out: the backend server's refusal, which was true for its own attempt. Change: the answer of an earlier attempt that may have run stands when the last attempt was not run. Measured: TestNotRunAfterLostAnswer got server_refused, not_run after two runs before, and answer_lost, unknown after (go test ./internal/crnode). Conclusion: not run is only said when no attempt ran.

--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -43,25 +43,37 @@
 	defer cancel()
 	svc := n.service(c.kind.Service())
 	var tried []string
+	var stands answer
 	for attempt := 1; ; attempt++ {
 		a, server := n.attempt(ctx, svc, c, tried)
-		a.attempts = attempt
+		stands = standing(stands, a)
+		stands.attempts = attempt
 		if a.code == crcode.OK {
 			svc.ratio.Succeeded()
 		}
 		if !retryable(c.kind, a) || !n.mayRetry(ctx, svc, c, attempt) {
-			return a
+			return stands
 		}
 		n.Counters.Add("retries", 1)
 		if server != "" {
 			tried = append(tried, server)
 		}
 		if !n.pause(ctx, a, attempt) {
-			return a
+			return stands
 		}
 	}
 }
 
+// standing returns what is known of a request after one more attempt: a refusal does not undo an earlier attempt that
+// may have run, so that attempt's answer stands.
+func standing(earlier, last answer) answer {
+	if earlier.code != 0 && earlier.code.Outcome() != crcode.NotRun && last.code.Outcome() == crcode.NotRun {
+		earlier.retryAfter = last.retryAfter
+		return earlier
+	}
+	return last
+}
+
 // retryable reports whether another send may follow the answer; a request that may have run is sent again only when
 // its kind may be repeated, and never after a crash.
 func retryable(k kindInfo, a answer) bool {
