crnode: keep the code of a refused deeper call

Cause: the code that a backend server passes on with a refusal was not read, so the calling node tried another server of the service, which met the same refusal; docs/interface.md promises that it does not. Ruled out: retryable, which already asks for an empty detail. Change: the refusal carries the code of the deeper call.

--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -144,11 +145,20 @@
 		return refusal(crcode.AnswerTooLarge, "")
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == crcode.NotRun.String() {
-		return answer{code: crcode.ServerRefused, retryAfter: retryAfter(resp.Header)}
+		return answer{code: crcode.ServerRefused, detail: deeperRefusal(resp.Header), retryAfter: retryAfter(resp.Header)}
 	}
 	return answer{code: crcode.OK, status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}
 }
 
+// deeperRefusal names the refused deeper call that a backend server passed on; another server would meet it too.
+func deeperRefusal(h http.Header) string {
+	code, err := strconv.ParseUint(h.Get(HeaderCode), 10, 16)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("a deeper call was refused with code %d", code)
+}
+
 func retryAfter(h http.Header) time.Duration {
 	ms, err := strconv.ParseInt(h.Get(HeaderRetryAfter), 10, 32)
 	if err != nil || ms < 0 {
