crnode: test the retry bound, the retry ratio and unknown outcomes on real nodes

Cause: I1 was proved on counters alone. Change: tests over a graph with parallel branches, lost answers, resends to other entrances and a dead home. Conclusion: the attempts counted at the backend servers stay at 1 + R.

--- a/internal/crnode/retry_test.go
+++ b/internal/crnode/retry_test.go
@@ -1,8 +1,11 @@
 package crnode_test
 
 import (
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -46,3 +49,176 @@
 	k.C.Assert(len(ran) >= 2, qt.IsTrue, qt.Commentf("%v: the refusal after the lost answer was not reached", ran))
 	k.C.Assert(r.Outcome, qt.Equals, crcode.Unknown.String(), qt.Commentf("%+v after %v", r, ran))
 }
+
+// warm fills the retry allowance of a service on a node with successes.
+func warm(k *crtest.Cluster, n *crtest.Node, kind string) {
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range 40 {
+				k.Send(n, kind, crtest.Request{})
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// TestRefusalOfDeeperCallPassedOn guards I4 and wasted work: a deeper call that was not run is told as not run, and no
+// other server of the calling service is tried for it.
+func TestRefusalOfDeeperCallPassedOn(t *testing.T) {
+	t.Parallel()
+	k := crtest.Start(t, crtest.Options{
+		Handle: func(r *crtest.Run) {
+			if r.Kind == "deep/read" {
+				r.Refuse("")
+				return
+			}
+			d := r.Deeper("deep/read", "")
+			r.Refuse(strconv.Itoa(int(d.Code)))
+		},
+		Services: []crtest.Service{
+			{Name: "front", Servers: 2, Slots: 8, Kinds: map[string]string{"read": repeat}},
+			{Name: "deep", Servers: 1, Slots: 8, Kinds: map[string]string{"read": repeat}},
+		},
+	})
+	id := k.Nodes[0].NewID()
+	r := k.Send(k.Nodes[0], "front/read", crtest.Request{ID: id})
+	k.C.Assert(r.Outcome, qt.Equals, crcode.NotRun.String(), qt.Commentf("%+v", r))
+	k.C.Assert(k.Ledger.Of("front/read", id), qt.Equals, 1)
+}
+
+// TestRetryBound guards I1 over a graph with parallel branches, lost answers, error answers and resends of the caller to
+// the same and to other entrances; R is 3.
+func TestRetryBound(t *testing.T) {
+	t.Parallel()
+	var broken atomic.Bool
+	k := crtest.Start(t, crtest.Options{
+		Handle: func(r *crtest.Run) { graph(r, broken.Load()) },
+		Services: []crtest.Service{
+			{Name: "front", Servers: 2, Slots: 20, Kinds: map[string]string{"read": repeat}},
+			{Name: "mid", Servers: 2, Slots: 20, Kinds: map[string]string{"left": repeat, "right": repeat}},
+			{Name: "leaf", Servers: 2, Slots: 20, Kinds: map[string]string{"read": repeat}},
+		},
+	})
+	for _, n := range k.Nodes[:2] {
+		warm(k, n, "front/read")
+	}
+	broken.Store(true)
+	used := 0
+	for range 5 {
+		id := k.Nodes[0].NewID()
+		for send := range 6 {
+			k.Send(k.Nodes[send%2], "front/read", crtest.Request{ID: id})
+		}
+		front, left, right, leaf := k.Ledger.Of("front/read", id), k.Ledger.Of("mid/left", id), k.Ledger.Of("mid/right", id), k.Ledger.Of("leaf/read", id)
+		// Each run of front calls left and right once, and each of these calls leaf once; all else are extra attempts.
+		extra := (front - 1) + (left - front) + (right - front) + (leaf - left - right)
+		k.C.Check(extra <= 3, qt.IsTrue, qt.Commentf("%d extra attempts: front %d, left %d, right %d, leaf %d", extra, front, left, right, leaf))
+		used += extra
+	}
+	k.C.Assert(used > 0, qt.IsTrue, qt.Commentf("no attempt was ever repeated"))
+}
+
+// graph calls two branches at one time, which both call the same leaf; a broken leaf loses its answer.
+func graph(r *crtest.Run, broken bool) {
+	ok := true
+	switch r.Kind {
+	case "front/read":
+		right := make(chan crtest.Reply, 1)
+		go func() { right <- r.Deeper("mid/right", "") }()
+		left := r.Deeper("mid/left", "")
+		ok = left.Status == 200 && (<-right).Status == 200
+	case "mid/left", "mid/right":
+		ok = r.Deeper("leaf/read", "").Status == 200
+	case "leaf/read":
+		if broken {
+			r.Drop()
+		}
+	}
+	if !ok {
+		r.W.WriteHeader(500)
+		return
+	}
+	r.Answer()
+}
+
+// TestRetryBoundWithoutHome guards I1 when the home of an id dies between resends: the keepers count the others, and
+// both parts together stay under the bound.
+func TestRetryBoundWithoutHome(t *testing.T) {
+	t.Parallel()
+	var broken atomic.Bool
+	o := pair(func(r *crtest.Run) {
+		if broken.Load() {
+			r.Drop()
+		}
+		r.Answer()
+	})
+	o.Services[0].Servers = 4
+	k := crtest.Start(t, o)
+	warm(k, k.Nodes[0], "ledger/read")
+	warm(k, k.Nodes[1], "ledger/read")
+	broken.Store(true)
+	var ids []string
+	for range 5 {
+		ids = append(ids, k.Nodes[0].NewID())
+		k.Send(k.Nodes[0], "ledger/read", crtest.Request{ID: ids[len(ids)-1]})
+	}
+	k.Nodes[0].Kill()
+	fallback := false
+	for _, id := range ids {
+		before := k.Ledger.Of("ledger/read", id)
+		for send := range 6 {
+			k.Send(k.Nodes[1+send%3], "ledger/read", crtest.Request{ID: id})
+		}
+		runs := k.Ledger.Of("ledger/read", id)
+		k.C.Check(runs <= 4, qt.IsTrue, qt.Commentf("%d runs, R is 3", runs))
+		fallback = fallback || runs > before
+	}
+	k.C.Assert(fallback, qt.IsTrue, qt.Commentf("no resend ran without the home"))
+}
+
+// TestRetryRatio guards against a retry storm: with no successes, retries stay at 1 and 1 a second for each calling node,
+// and they end with the trigger.
+func TestRetryRatio(t *testing.T) {
+	t.Parallel()
+	var broken atomic.Bool
+	var runs atomic.Int64
+	broken.Store(true)
+	k := crtest.Start(t, pair(func(r *crtest.Run) {
+		runs.Add(1)
+		if broken.Load() {
+			r.W.WriteHeader(500)
+			return
+		}
+		r.Answer()
+	}))
+	start := time.Now()
+	const sends = 200
+	for range sends {
+		k.Send(k.Nodes[0], "ledger/read", crtest.Request{})
+	}
+	retries := runs.Load() - sends
+	most := 2 + int64(time.Since(start)/time.Second)
+	k.C.Assert(retries <= most, qt.IsTrue, qt.Commentf("%d retries of %d requests, at most %d", retries, sends, most))
+	broken.Store(false)
+	runs.Store(0)
+	for range sends {
+		k.Send(k.Nodes[0], "ledger/read", crtest.Request{})
+	}
+	k.C.Assert(runs.Load(), qt.Equals, int64(sends))
+}
+
+// TestUnknownNotRetried guards I5: after a lost answer a request that may not be repeated is not sent again.
+func TestUnknownNotRetried(t *testing.T) {
+	t.Parallel()
+	k := crtest.Start(t, pair((*crtest.Run).Drop))
+	for range 5 {
+		id := k.Nodes[0].NewID()
+		r := k.Send(k.Nodes[0], "ledger/record", crtest.Request{ID: id})
+		k.C.Check(r.Code, qt.Equals, crcode.AnswerLost)
+		k.C.Check(r.Attempts, qt.Equals, 1)
+		k.C.Check(k.Ledger.Of("ledger/record", id), qt.Equals, 1)
+	}
+}
