crnode: quote nothing of a malformed answer in a refusal

Ruled out: network errors, which quote addresses only. Change: errors other than end of file and network errors get a fixed detail. Measured: the refusal held the backend server's bytes before and none after (TestPartialAnswers, no HTTP). Conclusion: no byte of an answer that is not whole reaches a caller.

--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -122,7 +122,12 @@
 	case ctx.Err() != nil:
 		return refusal(crcode.CancelledRun, "")
 	}
-	return refusal(crcode.AnswerLost, err.Error())
+	var network *net.OpError
+	if errors.Is(err, io.EOF) || errors.As(err, &network) {
+		return refusal(crcode.AnswerLost, err.Error())
+	}
+	// Other errors of net/http quote what the backend server sent, which may belong to another request.
+	return refusal(crcode.AnswerLost, "the backend server did not answer in HTTP")
 }
 
 // read takes the whole answer or refuses it as truncated, too large or another request's.
