crnode: take a cut answer of a dead backend server for a crash

Ruled out: the quarantine, which was never asked. Change: a truncated answer is looked into as well. Conclusion: a crash counts at any point of the answer.

--- a/internal/crnode/crash.go
+++ b/internal/crnode/crash.go
@@ -23,7 +23,7 @@
 		return a
 	}
 	a := n.execute(ctx, r)
-	if a.code == crcode.AnswerLost && n.crashed(ctx, r.backend, r.req.GetKind()) {
+	if (a.code == crcode.AnswerLost || a.code == crcode.AnswerTruncated) && n.crashed(ctx, r.backend, r.req.GetKind()) {
 		return answer{code: crcode.ServerDied, retryAfter: crashRetryAfter}
 	}
 	n.endRun(f, a)
