crnode, crquarantine: count runs that were given up when a server dies

Ruled out: a slow spread of suspects, since no gate had one. Change: runs that were given up count as suspects for 10 s; one that ran alone keeps its server for 1 s more and is convicted when nothing ran since. A refused connection or a new instance without leaving also shows a death. The runs of a newer instance are no longer blamed for the death of an older one.

--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/crcode"
@@ -172,15 +173,21 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// refuses reports whether nobody listens at the address; a server that is only slow to accept does not count.
+func refuses(ctx context.Context, address string) bool {
+	return errors.Is(dial(ctx, address), syscall.ECONNREFUSED)
+}
+
 // alive reports whether the backend server accepts a connection, to tell a crash from a broken connection.
-func alive(ctx context.Context, address string) bool {
+func alive(ctx context.Context, address string) bool { return dial(ctx, address) == nil }
+
+func dial(ctx context.Context, address string) error {
 	var d net.Dialer
 	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 	defer cancel()
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = conn.Close()
-	return true
+	return conn.Close()
 }
--- a/internal/crnode/crash.go
+++ b/internal/crnode/crash.go
@@ -26,7 +26,10 @@
 	if (a.code == crcode.AnswerLost || a.code == crcode.AnswerTruncated) && n.crashed(ctx, r.backend, r.req.GetKind()) {
 		return answer{code: crcode.ServerDied, retryAfter: crashRetryAfter}
 	}
-	n.endRun(f, a)
+	n.endRun(f, r.req.GetKind(), a)
+	if a.code == crcode.NoServer {
+		n.refused(ctx, r.backend)
+	}
 	return a
 }
 
@@ -52,14 +55,18 @@
 
 // endRun ends a run after which the backend server is alive; only a whole answer clears a suspect, since the backend
 // server may still work on a request that was cancelled or ran out of time.
-func (n *Node) endRun(f crquarantine.Fingerprint, a answer) {
+func (n *Node) endRun(f crquarantine.Fingerprint, kind string, a answer) {
 	n.crashMu.Lock()
 	defer n.crashMu.Unlock()
-	if a.code != crcode.OK {
+	switch a.code {
+	case crcode.OK:
+		n.quarantine.Finished(time.Now(), f)
+	case crcode.DeadlineRunning, crcode.CancelledRun:
+		n.quarantine.Abandoned(time.Now(), f)
+		n.abandoned = conviction{f, kind}
+	default:
 		n.quarantine.Cancelled(f)
-		return
 	}
-	n.quarantine.Finished(time.Now(), f)
 }
 
 // crashed finds out whether the backend server died, and if so makes suspects of all requests that it ran; kind is that
@@ -70,14 +77,50 @@
 	if n.crashedInstance == ann.Instance {
 		return true
 	}
-	if last, _ := n.lease.current(time.Now()); last.Instance == ann.Instance && alive(context.WithoutCancel(ctx), ann.Address) {
+	last, _ := n.lease.current(time.Now())
+	if last.Instance != ann.Instance {
+		// Another instance has taken over, and its requests are not to blame.
+		return true
+	}
+	if alive(context.WithoutCancel(ctx), ann.Address) {
 		return false
 	}
+	n.died(ann, kind)
+	return true
+}
+
+// refused takes a backend server that refuses connections without having left for dead; the request that found it so
+// did not reach it.
+func (n *Node) refused(ctx context.Context, ann Announcement) {
+	n.crashMu.Lock()
+	defer n.crashMu.Unlock()
+	last, _ := n.lease.current(time.Now())
+	if n.crashedInstance == ann.Instance || last.Instance != ann.Instance || last.State == StateLeaving {
+		return
+	}
+	if refuses(context.WithoutCancel(ctx), ann.Address) {
+		n.died(ann, "")
+	}
+}
+
+// died makes suspects of all requests that a dead backend server ran; the caller holds crashMu.
+func (n *Node) died(ann Announcement, kind string) {
 	n.crashedInstance = ann.Instance
 	n.lease.end(ann.Instance)
 	n.Counters.Add("server_crashes", 1)
 	entries := n.quarantine.Crashed(time.Now())
 	_ = level.Info(n.Logger).Log("msg", "backend server died", "instance", ann.Instance, "suspects", len(entries))
 	n.publishSuspects(entries, kind)
-	return true
+}
+
+// replaced takes a new instance for the crash of the one before, unless that one was leaving.
+func (n *Node) replaced(before, now Announcement) {
+	if before.Instance == "" || before.Instance == now.Instance || before.State == StateLeaving {
+		return
+	}
+	n.crashMu.Lock()
+	defer n.crashMu.Unlock()
+	if n.crashedInstance != before.Instance {
+		n.died(before, "")
+	}
 }
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -68,6 +68,8 @@
 	crashMu         sync.Mutex
 	quarantine      crquarantine.Tracker
 	crashedInstance string
+	// abandoned is the last run that was given up while the backend server may have gone on with it.
+	abandoned conviction
 
 	servicesMu sync.Mutex
 	services   map[string]*service
--- a/internal/crnode/http.go
+++ b/internal/crnode/http.go
@@ -139,6 +139,7 @@
 // announced renews the lease and tells the gate and the directory what changed.
 func (n *Node) announced(now time.Time, a Announcement) {
 	before := n.lease.renew(now, a)
+	n.replaced(before, a)
 	n.gate.announce(now, a.Slots)
 	if before.State != a.State || before.Instance != a.Instance {
 		_ = level.Info(n.Logger).Log("msg", "backend server announced", "state", a.State, "instance", a.Instance, "address", a.Address)
--- a/internal/crnode/suspects.go
+++ b/internal/crnode/suspects.go
@@ -27,7 +27,11 @@
 	for _, e := range entries {
 		n.publishEntry(e)
 		if e.State == crquarantine.Sentenced {
-			n.convict(conviction{e.Fingerprint, kind})
+			c := conviction{e.Fingerprint, kind}
+			if e.Fingerprint == n.abandoned.fingerprint {
+				c = n.abandoned
+			}
+			n.convict(c)
 		}
 	}
 }
--- a/pkg/crquarantine/crquarantine.go
+++ b/pkg/crquarantine/crquarantine.go
@@ -22,6 +22,10 @@
 	reserveTime = 2 * time.Second
 	// leaseTime is how long an exclusive run reported by another gate counts without a further report.
 	leaseTime = 5 * time.Second
+	// abandonTime is how long a run that was given up still counts at a crash, since the server may go on with it.
+	abandonTime = 10 * time.Second
+	// abandonHold is how long a server stays given to an exclusive run that was given up.
+	abandonHold = time.Second
 	// defaultMaxEntries bounds suspects and convictions of one service.
 	defaultMaxEntries = 4096
 )
@@ -132,6 +136,10 @@
 	reserver  Fingerprint
 	leases    map[string]time.Time
 	evicted   uint64
+	// abandoned are runs that were given up, with the time; lone is the last one of them if it ran alone.
+	abandoned map[Fingerprint]time.Time
+	lone      Fingerprint
+	hasLone   bool
 }
 
 // Check tells how the request may run.
@@ -155,7 +163,7 @@
 	case Exclusive:
 		return t.startExclusive(now, f)
 	}
-	if t.exclusive || now.Before(t.reserved) {
+	if t.exclusive || now.Before(t.reserved) || t.held(now) {
 		return Wait
 	}
 	t.start(f)
@@ -166,7 +174,7 @@
 	if !t.exclusive && !now.Before(t.reserved) && t.leased(now) {
 		return Elsewhere
 	}
-	if t.exclusive || now.Before(t.reserved) && t.reserver != f {
+	if t.exclusive || t.held(now) || now.Before(t.reserved) && t.reserver != f {
 		return Wait
 	}
 	if t.running > 0 {
@@ -210,6 +218,7 @@
 		delete(t.inFlight, f)
 	}
 	t.running--
+	t.hasLone = false
 	if t.exclusive {
 		t.exclusive = false
 		t.set(now, f, Cleared)
@@ -229,6 +238,39 @@
 	t.exclusive = false
 }
 
+// Abandoned ends a run that was given up while the server may go on with it: it is still a suspect when the server
+// crashes soon, and a convict when it ran alone and nothing has run since.
+func (t *Tracker) Abandoned(now time.Time, f Fingerprint) {
+	if t.inFlight[f] == 0 {
+		return
+	}
+	t.lone, t.hasLone = f, t.exclusive
+	t.Cancelled(f)
+	if t.abandoned == nil {
+		t.abandoned = make(map[Fingerprint]time.Time)
+	}
+	if len(t.abandoned) >= defaultMaxEntries {
+		t.forget(now)
+	}
+	if len(t.abandoned) < defaultMaxEntries {
+		t.abandoned[f] = now
+	}
+}
+
+// held reports whether the server still belongs to an exclusive run that was given up.
+func (t *Tracker) held(now time.Time) bool {
+	return t.hasLone && now.Sub(t.abandoned[t.lone]) < abandonHold
+}
+
+// forget drops runs that were given up long ago.
+func (t *Tracker) forget(now time.Time) {
+	for f, at := range t.abandoned {
+		if now.Sub(at) >= abandonTime {
+			delete(t.abandoned, f)
+		}
+	}
+}
+
 // Crashed tells that the server died. Requests in flight become suspects, or convicts when the run was exclusive;
 // the returned entries are to be passed on at once, convictions also to the replicated log.
 func (t *Tracker) Crashed(now time.Time) []Entry {
@@ -243,12 +285,32 @@
 		}
 		out = append(out, t.export(now, f))
 	}
+	out = append(out, t.crashedAbandoned(now)...)
 	t.inFlight, t.running, t.exclusive = nil, 0, false
+	t.abandoned, t.hasLone = nil, false
 	t.reserved = time.Time{}
 	sortEntries(out)
 	return out
 }
 
+// crashedAbandoned judges the runs that were given up before a crash.
+func (t *Tracker) crashedAbandoned(now time.Time) []Entry {
+	var out []Entry
+	t.forget(now)
+	for f := range t.abandoned {
+		if t.inFlight[f] > 0 || t.Check(now, f) == Convicted {
+			continue
+		}
+		state := Suspected
+		if t.hasLone && f == t.lone && t.running == 0 {
+			state = Sentenced
+		}
+		t.set(now, f, state)
+		out = append(out, t.export(now, f))
+	}
+	return out
+}
+
 func sortEntries(s []Entry) {
 	slices.SortFunc(s, func(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 }
@@ -353,6 +415,7 @@
 
 // Expire drops entries past their lifetime and returns how many.
 func (t *Tracker) Expire(now time.Time) int {
+	t.forget(now)
 	n := 0
 	for f, e := range t.entries {
 		if now.Sub(e.since) >= e.lifetime() {
