crnode: test crashing requests on real nodes

Cause: F6 was proved on the quarantine's state machine alone. Change: a request that ends its backend server at once, in the middle of its answer or after its deadline is sent to all entrances under new ids, beside other requests in flight; the conviction is shown and lifted. Conclusion: two servers at most are ended, and the requests beside it run later.

--- /dev/null
+++ b/internal/crnode/crash_test.go
@@ -0,0 +1,163 @@
+package crnode_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crtest"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crquarantine"
+)
+
+const poison = "poison"
+
+// crashers are the ways in which one request ends its backend server.
+var crashers = map[string]func(*crtest.Run){
+	"at once": (*crtest.Run).Crash,
+	"in the middle of the answer": func(r *crtest.Run) {
+		r.W.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(r.W, "PARTIAL")
+		_ = r.Flush()
+		r.Crash()
+	},
+	"after the deadline": func(r *crtest.Run) {
+		<-r.R.Context().Done()
+		go r.Server.Crash()
+	},
+}
+
+// TestCrashingRequest guards F6: one request ends each backend server that runs it, and its caller sends it again to
+// every entrance, under new ids too. It ends two servers of the service at most, and the requests that were in flight
+// beside it run later.
+func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
+	for name, crash := range crashers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			crashingRequest(t, crash)
+		})
+	}
+}
+
+func crashingRequest(t *testing.T, crash func(*crtest.Run)) {
+	var crashed atomic.Int64
+	beside := make(chan struct{}, 64)
+	release := make(chan struct{})
+	var healed atomic.Bool
+	k := crtest.Start(t, ledgers(4, func(r *crtest.Run) {
+		switch body := string(r.Body); {
+		case body == poison && !healed.Load():
+			crashed.Add(1)
+			crash(r)
+		case strings.HasPrefix(body, "beside"):
+			beside <- struct{}{}
+			select {
+			case <-release:
+			case <-r.R.Context().Done():
+				return
+			}
+			r.Answer()
+		default:
+			r.Answer()
+		}
+	}))
+	bystanders := startBystanders(k, beside)
+	deadline := 400 * time.Millisecond
+	for round := range 12 {
+		k.Send(k.Nodes[round%4], "ledger/read", crtest.Request{Body: []byte(poison), Deadline: deadline})
+		// The bound counts from the first crash that the gates know of, so the caller gives them time to tell each other.
+		if crashed.Load() > 0 {
+			k.Until(func() error { return knownEverywhere(k) })
+		}
+		restartDead(k)
+	}
+	close(release)
+	bystanders.Wait()
+	k.C.Assert(crashed.Load() <= 2, qt.IsTrue, qt.Commentf("%d servers were ended", crashed.Load()))
+	k.C.Assert(crashed.Load() > 0, qt.IsTrue)
+	for i := range 8 {
+		k.Until(func() error {
+			restartDead(k)
+			r := k.Send(k.Nodes[i%4], "ledger/read", crtest.Request{Body: fmt.Append(nil, "beside ", i)})
+			if r.Code != crcode.OK {
+				return fmt.Errorf("bystander %d: %+v", i, r)
+			}
+			return nil
+		})
+	}
+	convictionIsLifted(k, &healed)
+}
+
+// knownEverywhere checks that all gates know of the suspect.
+func knownEverywhere(k *crtest.Cluster) error {
+	f := crquarantine.FingerprintOf("ledger", "read", []byte(poison)).String()
+	for _, n := range k.Nodes {
+		known := false
+		for _, e := range n.Dump().Quarantine.Entries {
+			known = known || e.Fingerprint == f
+		}
+		if !known {
+			return fmt.Errorf("%s does not know the suspect", n.Name)
+		}
+	}
+	return nil
+}
+
+// startBystanders has requests in flight at every server.
+func startBystanders(k *crtest.Cluster, beside chan struct{}) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k.Send(k.Nodes[i%4], "ledger/read", crtest.Request{Body: fmt.Append(nil, "beside ", i)})
+		}()
+	}
+	for range 8 {
+		<-beside
+	}
+	return &wg
+}
+
+// restartDead does what a supervisor does.
+func restartDead(k *crtest.Cluster) {
+	for _, n := range k.Nodes {
+		if n.Server.Dead() {
+			n.Server.Kill()
+			n.StartServer()
+		}
+	}
+}
+
+// convictionIsLifted waits until operators see the conviction, lifts it, and runs the request after the server's repair.
+func convictionIsLifted(k *crtest.Cluster, healed *atomic.Bool) {
+	f := crquarantine.FingerprintOf("ledger", "read", []byte(poison)).String()
+	k.Until(func() error {
+		k.Send(k.Nodes[0], "ledger/read", crtest.Request{Body: []byte(poison), Deadline: 400 * time.Millisecond})
+		restartDead(k)
+		text, err := k.Command(k.Controls[0], "show convictions")
+		if err == nil && !strings.Contains(text, f) {
+			err = fmt.Errorf("%s is not in %q", f, text)
+		}
+		return err
+	})
+	k.C.Assert(k.Send(k.Nodes[1], "ledger/read", crtest.Request{Body: []byte(poison)}).Outcome, qt.Equals, crcode.NotRun.String())
+	healed.Store(true)
+	_, err := k.Command(k.Controls[0], "lift conviction "+f)
+	k.C.Assert(err, qt.IsNil)
+	for _, n := range k.Nodes {
+		k.Until(func() error {
+			if r := k.Send(n, "ledger/read", crtest.Request{Body: []byte(poison)}); r.Code != crcode.OK {
+				return fmt.Errorf("%+v", r)
+			}
+			return nil
+		})
+	}
+}
--- a/internal/crtest/client.go
+++ b/internal/crtest/client.go
@@ -108,6 +108,11 @@
 		Active  int `json:"active_groups"`
 		Records int `json:"records"`
 	} `json:"keeper"`
+	Quarantine struct {
+		Entries []struct {
+			Fingerprint string `json:"fingerprint"`
+		} `json:"entries"`
+	} `json:"quarantine"`
 	Stopping bool `json:"stopping"`
 	Services []struct {
 		Service string       `json:"service"`
--- a/internal/crtest/server.go
+++ b/internal/crtest/server.go
@@ -204,6 +204,9 @@
 	panic(http.ErrAbortHandler)
 }
 
+// Flush sends what was written so far.
+func (r *Run) Flush() error { return http.NewResponseController(r.W).Flush() }
+
 // Drop closes the connection without an answer; the server lives on.
 func (r *Run) Drop() { panic(http.ErrAbortHandler) }
 
