crkeeper: hand a group over without waiting for a turn

Cause: at most 64 hand-overs were started every 50 ms, each member in an order of its own, so when 1,024 groups change a group was sealed at one member up to 0.8 s before it was installed at the others, and its claims failed meanwhile. Ruled out: the spread of the configuration, which takes two batches; the seal itself, which is one round trip. Change: a hand-over that is done starts the next one at once, and all members go in order of group numbers. Groups that were tried in vain come last, so that an unreachable member holds up nobody else.

--- a/internal/crkeeper/crkeeper.go
+++ b/internal/crkeeper/crkeeper.go
@@ -3,7 +3,10 @@
 package crkeeper
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +69,8 @@
 	mu      sync.Mutex
 	pending map[uint32]*crrecord.Reconfiguration
 	running map[*crrecord.Reconfiguration]bool
+	// late holds the epochs of groups whose hand-over was tried in vain; they give way to the others.
+	late map[uint32]uint64
 	wake    chan struct{}
 }
 
@@ -170,20 +175,42 @@
 			go func() {
 				defer wg.Done()
 				k.handOver(ctx, r)
-				k.mu.Lock()
-				delete(k.running, r)
-				k.mu.Unlock()
+				k.ended(r)
 			}()
 		}
 	}
 }
 
-// due returns the hand-overs to start now, so that one with an unreachable member delays no other.
+// ended makes room for another hand-over; after one that is done, the next ones start without waiting for their turn,
+// since claims of a group fail until its hand-over is done.
+func (k *Keeper) ended(r *crrecord.Reconfiguration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.running, r)
+	if k.pending[r.Group().Number] == r {
+		if k.late == nil {
+			k.late = make(map[uint32]uint64)
+		}
+		k.late[r.Group().Number] = r.Group().Epoch
+		return
+	}
+	select {
+	case k.wakeLocked() <- struct{}{}:
+	default:
+	}
+}
+
+// due returns the hand-overs to start now, so that one with an unreachable member delays no other. All members take the
+// groups in the same order, so that the time between the first seal and the last installation of a group is short.
 func (k *Keeper) due() []*crrecord.Reconfiguration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []*crrecord.Reconfiguration
-	for _, r := range k.pending {
+	numbers := slices.SortedFunc(maps.Keys(k.pending), func(a, b uint32) int {
+		return cmp.Or(k.lateness(a)-k.lateness(b), cmp.Compare(a, b))
+	})
+	for _, number := range numbers {
+		r := k.pending[number]
 		if len(k.running) >= sealParallel {
 			break
 		}
@@ -198,6 +225,14 @@
 	return out
 }
 
+// lateness is 1 for a group whose present hand-over was tried in vain; the caller holds the lock.
+func (k *Keeper) lateness(number uint32) int {
+	if k.late[number] == k.pending[number].Group().Epoch {
+		return 1
+	}
+	return 0
+}
+
 type sealed struct {
 	target crrecord.Target
 	out    crrecord.Handover
