crnode: tell what is known of a call that found no session or no server

Cause: a connection that broke in the handshake was told as a lost answer (unknown) though nothing was sent; a call refused by every server was told as no server; and retries after a failed claim came 5 ms apart and spent the bound while record keepers changed. Ruled out: crwire, which already promises that nothing was sent without a session. Change: such a call was not run and goes to another server; the earlier refusal stands; a failed claim waits 120 ms longer and may go to the same server. Conclusion: honest refusals with the cause that an operator can act on.

--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -21,6 +21,9 @@
 	methodArrive = "retry.arrive"
 )
 
+// claimPause is added to the back-off after a failed claim.
+const claimPause = 120 * time.Millisecond
+
 // minSendTime is the least time left in which a call is worth sending.
 const minSendTime = time.Millisecond
 
@@ -55,7 +58,8 @@
 			return stands
 		}
 		n.Counters.Add("retries", 1)
-		if server != "" {
+		if server != "" && a.code != crcode.ClaimFailed {
+			// A claim fails at the record keepers, so the same server may be chosen again.
 			tried = append(tried, server)
 		}
 		if !n.pause(ctx, a, attempt) {
@@ -67,6 +71,10 @@
 // standing returns what is known of a request after one more attempt: a refusal does not undo an earlier attempt that
 // may have run, so that attempt's answer stands.
 func standing(earlier, last answer) answer {
+	if earlier.code.Outcome() == crcode.NotRun && last.code == crcode.NoServer && earlier.code != 0 {
+		// That no other server is left says less than why the ones before refused.
+		return earlier
+	}
 	if earlier.code != 0 && earlier.code.Outcome() != crcode.NotRun && last.code.Outcome() == crcode.NotRun {
 		earlier.retryAfter = last.retryAfter
 		return earlier
@@ -109,13 +117,18 @@
 	return true
 }
 
-// pause waits before a retry; a server that is leaving or gone is left at once.
+// pause waits before a retry; a server that is leaving or gone is left at once. A claim fails while record keepers
+// change, which takes about two batches of the configuration, so shorter waits would only spend the retries.
 func (n *Node) pause(ctx context.Context, a answer, attempt int) bool {
 	switch a.code {
 	case crcode.Leaving, crcode.NoServer, crcode.Stopping, crcode.StaleIncarnation:
 		return true
 	}
-	t := time.NewTimer(n.backoff(attempt))
+	wait := n.backoff(attempt)
+	if a.code == crcode.ClaimFailed {
+		wait += claimPause
+	}
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -222,11 +235,19 @@
 	}
 	s, err := n.endpoint.Session(ctx, addr)
 	if err != nil {
-		return nil, err
+		return nil, notSent(server, err)
 	}
 	return crwire.Call[crwire.CallResponse](ctx, s, methodCall, req)
 }
 
+// notSent is the error of a call without a session: a connection that broke in the handshake carried no call.
+func notSent(server string, err error) error {
+	if crcode.Of(err) == crcode.ConnectionLost {
+		return crcode.New(crcode.NoServer, "no session with %s: %v", server, err)
+	}
+	return err
+}
+
 // answerOf checks that the response is the whole answer to c.
 func answerOf(c outcall, resp *crwire.CallResponse, err error) answer {
 	if err != nil {
