--- a/internal/crkeeper/crkeeper.go
+++ b/internal/crkeeper/crkeeper.go
@@ -71,7 +71,7 @@
 	running map[*crrecord.Reconfiguration]bool
 	// late holds the epochs of groups whose hand-over was tried in vain; they give way to the others.
 	late map[uint32]uint64
-	wake    chan struct{}
+	wake chan struct{}
 }
 
 // with runs fn on the records.
