--- a/internal/crnode/http.go
+++ b/internal/crnode/http.go
@@ -21,6 +21,10 @@
 	maxSlots             = 100000
 )
 
+// leavingWait is how long the answer to a leaving backend server waits for the runs in flight: a request that is on its
+// way may meet a server that closes idle connections. A longer run has reached the server by then.
+const leavingWait = 200 * time.Millisecond
+
 // handler returns the mux of the address for callers and for the backend server.
 func (n *Node) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -96,6 +100,9 @@
 		return
 	}
 	n.announced(time.Now(), a)
+	if a.State == StateLeaving {
+		waitUntil(r.Context(), leavingWait, func() bool { return n.executions.len() == 0 })
+	}
 	writeJSON(w, http.StatusOK, struct {
 		LeaseMS    int64 `json:"lease_ms"`
 		IntervalMS int64 `json:"announce_interval_ms"`
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -132,6 +132,10 @@
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	n.executions.add(e)
 	defer n.executions.remove(e)
+	// The backend server may have left while the call waited; it must not be sent after the answer to that announcement.
+	if now, serving := n.lease.current(time.Now()); !serving || now.Instance != r.backend.Instance {
+		return refusal(crcode.Leaving, "")
+	}
 	runCtx := ctx
 	if r.kind.Repeatable() {
 		var cancel context.CancelFunc
@@ -164,5 +168,5 @@
 
 // mayHaveStarted reports whether the backend server may have begun the run.
 func mayHaveStarted(a answer) bool {
-	return !slices.Contains([]crcode.Code{crcode.NoServer, crcode.ServerRefused, crcode.DeadlineExpired, crcode.Quarantined, crcode.BadRequest, crcode.Overloaded}, a.code)
+	return !slices.Contains([]crcode.Code{crcode.NoServer, crcode.ServerRefused, crcode.DeadlineExpired, crcode.Quarantined, crcode.BadRequest, crcode.Overloaded, crcode.Leaving}, a.code)
 }
