--- a/internal/crcontrol/keepers.go
+++ b/internal/crcontrol/keepers.go
@@ -15,9 +15,6 @@
 // keeperInterval is how often the control instance in charge looks whether record keepers must change.
 const keeperInterval = time.Second
 
-// stateLeaving is the directory state of a node that stops.
-const stateLeaving = 3
-
 // keeperLoop assigns record keepers while this instance is in charge.
 func (c *Control) keeperLoop(ctx context.Context) {
 	t := time.NewTicker(keeperInterval)
@@ -89,7 +86,7 @@
 		}
 		out = append(out, crrecord.Candidate{
 			Member:  crrecord.Member{Node: e.GetNode(), Incarnation: e.GetIncarnation(), Address: e.GetAddress(), Domain: e.GetDomain()},
-			Leaving: e.GetState() == stateLeaving,
+			Leaving: e.GetStopping(),
 		})
 	}
 	return out
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -161,8 +161,11 @@
 func (n *Node) drain(p *parts) int {
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopTimeout)
 	defer cancel()
+	n.work.refuse()
 	p.leave(ctx)
-	return n.work.stop(ctx)
+	left := n.work.stop(ctx)
+	n.settle(ctx)
+	return left
 }
 
 // tickLoop removes expired requests from the queue and lets levels and holds end.
--- a/internal/crnode/directory.go
+++ b/internal/crnode/directory.go
@@ -31,14 +31,18 @@
 
 // tellDirectory announces this node with the state of its backend server.
 func (n *Node) tellDirectory(a Announcement) {
-	state := directoryStates[a.State]
-	if n.work.stops() {
+	state, stopping := directoryStates[a.State], n.work.stops()
+	switch {
+	case stopping:
 		state = directoryStates[StateLeaving]
+	case a.State == StateServing && !n.followed(n.Settings.Service):
+		// Without the kinds of its service the gate would refuse everything.
+		state = directoryStates[StateStarting]
 	}
 	n.directory.Announce(&crwire.DirectoryEntry{
 		Node: n.Settings.Name, Incarnation: n.Incarnation, Service: n.Settings.Service, Address: n.Settings.Inner,
 		Entrance: n.Settings.Listen, Domain: n.Settings.Domain, Region: n.Settings.Region,
-		Slots: uint32(a.Slots), Connections: uint32(a.Connections), State: state,
+		Slots: uint32(a.Slots), Connections: uint32(a.Connections), State: state, Stopping: stopping,
 	})
 }
 
@@ -62,6 +66,7 @@
 		}
 		targets = append(targets, target{
 			node: e.GetNode(), incarnation: e.GetIncarnation(), address: e.GetAddress(), domain: e.GetDomain(), slots: int(e.GetSlots()),
+			sequence: e.GetSequence(),
 		})
 	}
 	n.service(name).update(now, targets)
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -160,7 +160,11 @@
 	}
 	n.Counters.Add("config_updates", 1)
 	p.entriesChanged(u.Entries)
+	before := n.followed(n.Settings.Service)
 	n.cover(u.Services)
+	if last, serving := n.lease.current(time.Now()); serving && !before {
+		n.tellDirectory(last)
+	}
 }
 
 // entriesChanged tells the keeper its groups and the quarantine which convictions were lifted.
--- a/internal/crnode/service.go
+++ b/internal/crnode/service.go
@@ -48,6 +48,15 @@
 	domain      string
 	slots       int
 	started     time.Time
+	// sequence orders the entries of one incarnation in the directory.
+	sequence uint64
+}
+
+// hold keeps a server out of the choice until a time, or until the directory has a newer entry of it.
+type hold struct {
+	until       time.Time
+	incarnation string
+	sequence    uint64
 }
 
 // service is what this node knows of one service that it calls.
@@ -58,8 +67,8 @@
 
 	mu      sync.Mutex
 	targets map[string]target
-	// left holds the incarnations that refused new work, until when.
-	left map[string]time.Time
+	// left holds the servers that refused new work.
+	left map[string]hold
 }
 
 // service returns the entry of a service, made at the first call to it.
@@ -89,6 +98,9 @@
 	s.targets = make(map[string]target, len(targets))
 	for _, t := range targets {
 		s.targets[t.node] = t
+		if h, ok := s.left[t.node]; ok && (t.incarnation != h.incarnation || t.sequence > h.sequence) {
+			delete(s.left, t.node)
+		}
 	}
 	s.refresh(now)
 }
@@ -98,9 +110,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.left == nil {
-		s.left = make(map[string]time.Time)
+		s.left = make(map[string]hold)
 	}
-	s.left[node] = now.Add(leaveHold)
+	t := s.targets[node]
+	s.left[node] = hold{now.Add(leaveHold), t.incarnation, t.sequence}
 	s.refresh(now)
 }
 
@@ -109,8 +122,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
-	for node, until := range s.left {
-		if now.After(until) {
+	for node, h := range s.left {
+		if now.After(h.until) {
 			delete(s.left, node)
 			changed = true
 		}
@@ -124,7 +137,7 @@
 func (s *service) refresh(now time.Time) {
 	servers := make([]crrouter.Server, 0, len(s.targets))
 	for _, t := range s.targets {
-		if now.Before(s.left[t.node]) {
+		if now.Before(s.left[t.node].until) {
 			continue
 		}
 		servers = append(servers, crrouter.Server{ID: t.node, Domain: t.domain, Slots: t.slots, Started: t.started})
