crnode: look at the lease before the claim

Cause: with the look at the lease after the claim, a refused call released its claim in the background, and its retry at another server found the record still held: in progress, unknown, for a request that never ran. Change: a call is counted while it holds a place, looks at the lease first, and the answer to leaving waits for it.

--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -51,12 +52,14 @@
 	backend    *backend
 	lease      lease
 	executions executions
-	places     cradmission.Places
-	shedKinds  shedCounts
-	work       workCount
-	arrivals   *crbudget.HomeCounter
-	levels     *cradmission.LevelTable
-	reach      *cradmission.Reach
+	// placed counts the calls that hold a place at the gate.
+	placed    atomic.Int64
+	places    cradmission.Places
+	shedKinds shedCounts
+	work      workCount
+	arrivals  *crbudget.HomeCounter
+	levels    *cradmission.LevelTable
+	reach     *cradmission.Reach
 
 	clock     crkeeper.Clock
 	claims    claims
--- a/internal/crnode/http.go
+++ b/internal/crnode/http.go
@@ -101,7 +101,7 @@
 	}
 	n.announced(time.Now(), a)
 	if a.State == StateLeaving {
-		waitUntil(r.Context(), leavingWait, func() bool { return n.executions.len() == 0 })
+		waitUntil(r.Context(), leavingWait, func() bool { return n.placed.Load() == 0 })
 	}
 	writeJSON(w, http.StatusOK, struct {
 		LeaseMS    int64 `json:"lease_ms"`
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -109,6 +109,12 @@
 
 // inPlace runs the call on the backend server, after the claim when the kind may not be repeated.
 func (n *Node) inPlace(ctx context.Context, r *run) answer {
+	n.placed.Add(1)
+	defer n.placed.Add(-1)
+	// The backend server may have left while the call waited; the answer to that announcement waits for calls in place.
+	if now, serving := n.lease.current(time.Now()); !serving || now.Instance != r.backend.Instance {
+		return refusal(crcode.Leaving, "")
+	}
 	if time.Until(r.deadline) < minSendTime {
 		return refusal(crcode.DeadlineExpired, "")
 	}
@@ -132,10 +138,6 @@
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	n.executions.add(e)
 	defer n.executions.remove(e)
-	// The backend server may have left while the call waited; it must not be sent after the answer to that announcement.
-	if now, serving := n.lease.current(time.Now()); !serving || now.Instance != r.backend.Instance {
-		return refusal(crcode.Leaving, "")
-	}
 	runCtx := ctx
 	if r.kind.Repeatable() {
 		var cancel context.CancelFunc
@@ -168,5 +170,5 @@
 
 // mayHaveStarted reports whether the backend server may have begun the run.
 func mayHaveStarted(a answer) bool {
-	return !slices.Contains([]crcode.Code{crcode.NoServer, crcode.ServerRefused, crcode.DeadlineExpired, crcode.Quarantined, crcode.BadRequest, crcode.Overloaded, crcode.Leaving}, a.code)
+	return !slices.Contains([]crcode.Code{crcode.NoServer, crcode.ServerRefused, crcode.DeadlineExpired, crcode.Quarantined, crcode.BadRequest, crcode.Overloaded}, a.code)
 }
