crnode: test leaving, planned stops and a rolling restart under load

Cause: I6 and I7 had no test on real nodes. Change: tests with announced and lost leaving, a node that stops with requests in flight, and a rolling restart.

--- /dev/null
+++ b/internal/crnode/stop_test.go
@@ -0,0 +1,216 @@
+package crnode_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crtest"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// leaveTarget is the time within which a leaving backend server gets no new work any more.
+const leaveTarget = 2 * time.Second
+
+// load sends requests from several callers until stop is called, and resends each after not run or a broken connection
+// to the next entrance until it is answered; lost counts those without a whole answer.
+type load struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	sent   atomic.Int64
+	lost   atomic.Int64
+	mu     sync.Mutex
+	seen   map[string]int
+}
+
+func startLoad(k *crtest.Cluster, entrances []*crtest.Node, kinds ...string) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{cancel: cancel, seen: map[string]int{}}
+	for i := range 8 {
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			for n := i; ctx.Err() == nil; n++ {
+				l.one(k, entrances, n, kinds[n%len(kinds)])
+			}
+		}()
+	}
+	return l
+}
+
+// one sends one request, with the resends that a caller is allowed.
+func (l *load) one(k *crtest.Cluster, entrances []*crtest.Node, n int, kind string) {
+	l.sent.Add(1)
+	q := crtest.Request{ID: entrances[n%len(entrances)].NewID(), Body: fmt.Append(nil, "request ", n)}
+	var r crtest.Reply
+	for send := range 4 {
+		r = k.Send(entrances[(n+send)%len(entrances)], kind, q)
+		whole := r.Err == nil && (r.Code == crcode.OK || r.Code == crcode.Replayed)
+		if whole && r.Body == crtest.Want(q.ID, q.Body) {
+			return
+		}
+		if r.Err == nil && r.Outcome != crcode.NotRun.String() {
+			break
+		}
+		// The pause that the answer asks for; nothing is decided by its length.
+		time.Sleep(r.RetryAfter)
+	}
+	l.lost.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[fmt.Sprint(r.Code, " ", r.Err)]++
+}
+
+func (l *load) stop(k *crtest.Cluster) {
+	k.C.Helper()
+	l.cancel()
+	l.wg.Wait()
+	k.C.Check(l.lost.Load(), qt.Equals, int64(0), qt.Commentf("of %d: %v", l.sent.Load(), l.seen))
+}
+
+// TestLeavingGetsNoWork guards I6: one backend server announces that it leaves, the announcements of another are lost,
+// and the load goes on; after 2 s neither is given a request, and none is lost meanwhile.
+func TestLeavingGetsNoWork(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	last := map[string]time.Time{}
+	k := crtest.Start(t, ledgers(4, func(r *crtest.Run) {
+		mu.Lock()
+		last[r.Server.Name] = time.Now()
+		mu.Unlock()
+		r.Answer()
+	}))
+	l := startLoad(k, k.Nodes, "ledger/read", "ledger/record")
+	// Both are in use before they go.
+	k.Until(func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(last) < 4 {
+			return fmt.Errorf("%d servers are in use", len(last))
+		}
+		return nil
+	})
+	k.Nodes[0].Server.Leave()
+	k.Nodes[1].Server.Mute()
+	gone := time.Now()
+	// The load must have gone on for long enough to show a late request.
+	k.Until(func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		if late := last[k.Nodes[3].Name].Sub(gone); late < leaveTarget+500*time.Millisecond {
+			return fmt.Errorf("%s since the leaving", late)
+		}
+		return nil
+	})
+	l.stop(k)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, n := range k.Nodes[:2] {
+		late := last[n.Name].Sub(gone)
+		k.C.Check(late <= leaveTarget, qt.IsTrue, qt.Commentf("%s got a request %s after it left", n.Name, late))
+	}
+}
+
+// TestPlannedStopOfNode guards I7: a node stops while it runs a request, passes one on for a caller and has a deeper
+// call under way; all three are answered whole.
+func TestPlannedStopOfNode(t *testing.T) {
+	t.Parallel()
+	var started sync.WaitGroup
+	started.Add(6)
+	release := make(chan struct{})
+	k := crtest.Start(t, crtest.Options{
+		Handle: func(r *crtest.Run) {
+			if r.Kind == "front/read" {
+				started.Done()
+				<-release
+				if d := r.Deeper("ledger/record", "key"); d.Code != crcode.OK {
+					r.W.WriteHeader(500)
+					return
+				}
+			}
+			r.Answer()
+		},
+		Services: []crtest.Service{
+			{Name: "front", Servers: 1, Slots: 8, Kinds: map[string]string{"read": "class ordinary worth 1 repeat yes deadline 10s retries 3"}},
+			{Name: "ledger", Servers: 3, Slots: 8, Kinds: map[string]string{"record": once}},
+		},
+	})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			// Half of the callers use the stopping node itself as their entrance.
+			n := k.Nodes[i%2]
+			id := n.NewID()
+			r := k.Send(n, "front/read", crtest.Request{ID: id})
+			k.C.Check(r.Body, qt.Equals, crtest.Want(id, nil), qt.Commentf("%+v", r))
+		}()
+	}
+	started.Wait()
+	stopped := make(chan error, 1)
+	go func() { stopped <- k.Nodes[0].Stop() }()
+	k.Until(func() error {
+		if !k.Nodes[0].Dump().Stopping {
+			return fmt.Errorf("not stopping yet")
+		}
+		return nil
+	})
+	r := k.Send(k.Nodes[0], "front/read", crtest.Request{})
+	k.C.Check(r.Err != nil || r.Code == crcode.Stopping, qt.IsTrue, qt.Commentf("%+v", r))
+	close(release)
+	wg.Wait()
+	k.C.Check(<-stopped, qt.IsNil)
+}
+
+// TestRollingRestart guards I7: all backend servers and then all nodes of a service restart one after another under
+// load, and every request is answered whole.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	k := crtest.Start(t, crtest.Options{
+		Handle: func(r *crtest.Run) {
+			time.Sleep(2 * time.Millisecond)
+			r.Answer()
+		},
+		Services: []crtest.Service{
+			{Name: "front", Servers: 3, Slots: 16, Kinds: map[string]string{"read": repeat}},
+			{Name: "ledger", Servers: 3, Slots: 16, Kinds: map[string]string{"read": repeat, "record": once}},
+		},
+	})
+	k.Settle()
+	entrances, ledgers := k.Nodes[:3:3], k.Nodes[3:6:6]
+	l := startLoad(k, entrances, "ledger/read", "ledger/record")
+	for _, n := range ledgers {
+		n.Server.Stop()
+		n.StartServer()
+		takesWork(k, entrances, n)
+	}
+	for i, n := range ledgers {
+		n.Server.Leave()
+		k.C.Check(n.Stop(), qt.IsNil)
+		n.Server.Stop()
+		takesWork(k, entrances, k.StartNode(k.Options.Services[1], fmt.Sprintf("ledger-%d", i+11), i))
+	}
+	l.stop(k)
+	k.C.Assert(l.sent.Load() > 100, qt.IsTrue)
+}
+
+// takesWork waits until every entrance chooses a server again: a rolling restart goes on to the next one only then.
+func takesWork(k *crtest.Cluster, entrances []*crtest.Node, n *crtest.Node) {
+	k.C.Helper()
+	for _, e := range entrances {
+		k.Until(func() error {
+			for _, s := range e.Dump().Servers("ledger") {
+				if s.Node == n.Name {
+					return nil
+				}
+			}
+			return fmt.Errorf("%s does not choose %s", e.Name, n.Name)
+		})
+	}
+}
--- a/internal/crtest/client.go
+++ b/internal/crtest/client.go
@@ -30,9 +30,11 @@
 	Outcome  string
 	Status   int
 	Attempts int
-	ID       string
-	Body     string
-	Err      error
+	// RetryAfter is when the caller may send again.
+	RetryAfter time.Duration
+	ID         string
+	Body       string
+	Err        error
 }
 
 // NewID makes an id whose home is the node.
@@ -78,9 +80,11 @@
 	got, err := io.ReadAll(resp.Body)
 	code, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderCode))
 	attempts, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderAttempts))
+	after, _ := strconv.Atoi(resp.Header.Get(crnode.HeaderRetryAfter))
 	return Reply{
 		Code: crcode.Code(code), Outcome: resp.Header.Get(crnode.HeaderOutcome), Status: resp.StatusCode, Attempts: attempts,
-		ID: resp.Header.Get(crnode.HeaderRequestID), Body: string(got), Err: err,
+		RetryAfter: time.Duration(after) * time.Millisecond,
+		ID:         resp.Header.Get(crnode.HeaderRequestID), Body: string(got), Err: err,
 	}
 }
 
@@ -146,3 +150,39 @@
 	n.cluster.C.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
 	return d
 }
+
+// ControlDump is the part of a control instance's state dump that tests look at.
+type ControlDump struct {
+	Leads     bool   `json:"in_charge"`
+	Term      uint64 `json:"term"`
+	Version   string `json:"version"`
+	Confirmed bool   `json:"version_confirmed"`
+	Directory struct {
+		Settled bool `json:"settled"`
+		Entries int  `json:"entries"`
+	} `json:"directory"`
+}
+
+// DumpControl reads the state dump of a control instance.
+func (k *Cluster) DumpControl(c *Control) ControlDump {
+	var d ControlDump
+	resp, err := k.Client.Get("http://" + c.Settings.Admin + "/v1/dump")
+	k.C.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	k.C.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
+	return d
+}
+
+// Settle waits until every control instance has run for a lease: before that, none takes a missing node for gone, and
+// no record keeper is replaced.
+func (k *Cluster) Settle() {
+	k.C.Helper()
+	k.Until(func() error {
+		for _, c := range k.Controls {
+			if !k.DumpControl(c).Directory.Settled {
+				return fmt.Errorf("%s is not settled", c.Name)
+			}
+		}
+		return nil
+	})
+}
--- a/internal/crtest/crtest.go
+++ b/internal/crtest/crtest.go
@@ -217,12 +217,12 @@
 		n.Server.Kill()
 		n.cancel()
 	}
-	for _, n := range k.Nodes {
-		<-n.done
-	}
 	for _, c := range k.Controls {
 		c.cancel()
 	}
+	for _, n := range k.Nodes {
+		<-n.done
+	}
 	for _, c := range k.Controls {
 		<-c.done
 	}
