crnode: test shedding on real nodes

Cause: I2 and the bounds on wasted work had no test on real nodes. Change: tests of the queue, of the entrance's places, of expiry, of cancellation and of refusals for a deep service. Conclusion: protected requests are refused only when no ordinary one is left to refuse.

--- /dev/null
+++ b/internal/crnode/shed_test.go
@@ -0,0 +1,266 @@
+package crnode_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crsettings"
+	"github.com/citronramp/citronramp/internal/crtest"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// long kinds wait for a test to release them.
+const (
+	longOrdinary  = "class ordinary worth 1 repeat yes deadline 15s retries 0"
+	longProtected = "class protected worth 100 repeat yes deadline 15s retries 0"
+)
+
+// gated is a deployment of one server whose runs end when the test says so.
+type gated struct {
+	*crtest.Cluster
+	release chan struct{}
+	running atomic.Int64
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	replies map[string][]crtest.Reply
+}
+
+func startGated(t *testing.T, slots, queue, places int, queueTime time.Duration) *gated {
+	g := &gated{release: make(chan struct{}), replies: map[string][]crtest.Reply{}}
+	g.Cluster = crtest.Start(t, crtest.Options{
+		Node: func(s *crsettings.Node) { s.QueueLength, s.MaxRequests, s.QueueTime = queue, places, queueTime },
+		Handle: func(r *crtest.Run) {
+			g.running.Add(1)
+			defer g.running.Add(-1)
+			select {
+			case <-g.release:
+			case <-r.R.Context().Done():
+				return
+			}
+			r.Answer()
+		},
+		Services: []crtest.Service{{Name: "ledger", Servers: 1, Slots: slots, Kinds: map[string]string{"low": longOrdinary, "high": longProtected}}},
+	})
+	return g
+}
+
+// send sends n requests of a kind at one time.
+func (g *gated) send(ctx context.Context, kind string, n int) {
+	for range n {
+		g.wg.Add(1)
+		go func() {
+			defer g.wg.Done()
+			r := g.SendContext(ctx, g.Nodes[0], "ledger/"+kind, crtest.Request{})
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.replies[kind] = append(g.replies[kind], r)
+		}()
+	}
+}
+
+func (g *gated) count(kind string, code crcode.Code) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, r := range g.replies[kind] {
+		if r.Code == code {
+			n++
+		}
+	}
+	return n
+}
+
+// gate waits until the gate's dump meets a condition.
+func (g *gated) gate(want string, f func(crtest.Dump) bool) {
+	g.C.Helper()
+	g.Until(func() error {
+		if d := g.Nodes[0].Dump(); !f(d) {
+			return fmt.Errorf("%s: %+v", want, d)
+		}
+		return nil
+	})
+}
+
+// TestProtectedDisplaceOrdinary guards I2: with all places of the queue taken by ordinary requests, protected ones take
+// them, and none of these is refused while an ordinary one waits.
+func TestProtectedDisplaceOrdinary(t *testing.T) {
+	t.Parallel()
+	g := startGated(t, 2, 20, 200, 10*time.Second)
+	ctx := context.Background()
+	g.send(ctx, "low", 40)
+	g.gate("the queue holds its part of ordinary requests", func(d crtest.Dump) bool { return d.Gate.Queued >= 16 })
+	g.send(ctx, "high", 18)
+	// All 18 wait or run, though ordinary requests had filled their part of the queue.
+	g.gate("protected requests wait", func(d crtest.Dump) bool { return g.count("low", crcode.Overloaded) >= 34 && d.Gate.Queued == 20 })
+	g.C.Check(g.count("high", crcode.Overloaded), qt.Equals, 0)
+	close(g.release)
+	g.wg.Wait()
+	g.C.Check(g.count("high", crcode.OK), qt.Equals, 18)
+	g.C.Check(g.count("low", crcode.OK) >= 2, qt.IsTrue, qt.Commentf("the rest of the capacity was left unused"))
+}
+
+// TestFloodLeavesRoomAtEntrance guards I2: ordinary requests that hold every place that they may have at the entrance
+// leave a fifth of the places to protected ones.
+func TestFloodLeavesRoomAtEntrance(t *testing.T) {
+	t.Parallel()
+	g := startGated(t, 100, 100, 50, 10*time.Second)
+	ctx := context.Background()
+	g.send(ctx, "low", 80)
+	g.gate("ordinary places are taken", func(d crtest.Dump) bool { return d.Entrance.Ordinary == 40 && g.count("low", crcode.Overloaded) == 40 })
+	g.send(ctx, "high", 10)
+	g.gate("protected places are taken", func(d crtest.Dump) bool { return d.Entrance.Protected == 10 })
+	close(g.release)
+	g.wg.Wait()
+	g.C.Check(g.count("high", crcode.OK), qt.Equals, 10)
+	g.C.Check(g.count("low", crcode.OK), qt.Equals, 40)
+}
+
+// TestExpiredLeaveQueue guards against wasted work: requests that wait too long or whose callers go away leave the queue
+// without running.
+func TestExpiredLeaveQueue(t *testing.T) {
+	t.Parallel()
+	g := startGated(t, 1, 20, 200, 300*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.send(context.Background(), "high", 1)
+	g.Until(func() error {
+		if g.running.Load() != 1 {
+			return fmt.Errorf("nothing runs")
+		}
+		return nil
+	})
+	limit := g.Nodes[0].Dump().Gate.Limit
+	g.send(context.Background(), "high", limit-1)
+	g.gate("all places are taken", func(d crtest.Dump) bool { return d.Gate.Running == limit })
+	g.send(ctx, "low", 4)
+	g.gate("four wait", func(d crtest.Dump) bool { return d.Gate.Queued > 0 })
+	cancel()
+	g.gate("cancelled requests left", func(d crtest.Dump) bool { return d.Gate.Queued == 0 })
+	g.send(context.Background(), "low", 4)
+	g.Until(func() error {
+		if n := g.count("low", crcode.QueueTimeout); n != 4 {
+			return fmt.Errorf("%d left the queue", n)
+		}
+		return nil
+	})
+	close(g.release)
+	g.wg.Wait()
+	ran := 0
+	for _, s := range g.Nodes {
+		ran += g.Ledger.Of("ledger/low", s.Name)
+	}
+	g.C.Check(ran, qt.Equals, 0)
+}
+
+// TestCancelReachesDeeperCalls guards against wasted work: a caller that goes away ends the run and its deeper call.
+func TestCancelReachesDeeperCalls(t *testing.T) {
+	t.Parallel()
+	deep, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	k := crtest.Start(t, crtest.Options{
+		Handle: func(r *crtest.Run) {
+			if r.Kind == "front/read" {
+				r.Deeper("ledger/read", "")
+				return
+			}
+			deep <- struct{}{}
+			<-r.R.Context().Done()
+			ended <- struct{}{}
+		},
+		Services: []crtest.Service{
+			{Name: "front", Servers: 1, Slots: 4, Kinds: map[string]string{"read": longOrdinary}},
+			{Name: "ledger", Servers: 1, Slots: 4, Kinds: map[string]string{"read": longOrdinary}},
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		k.SendContext(ctx, k.Nodes[0], "front/read", crtest.Request{})
+	}()
+	<-deep
+	cancel()
+	<-gone
+	select {
+	case <-ended:
+	case <-time.After(crtest.Deadline / 4):
+		t.Fatal("the deeper run goes on without its caller")
+	}
+}
+
+// TestEntranceRefusesForDeepService guards against wasted deep work: once the entrance has learned that a kind reaches an
+// overloaded deep service, it refuses ordinary requests without any run, and still lets protected ones through.
+func TestEntranceRefusesForDeepService(t *testing.T) {
+	t.Parallel()
+	k := crtest.Start(t, crtest.Options{
+		Handle: func(r *crtest.Run) {
+			if r.Kind == "ledger/low" || r.Kind == "ledger/high" {
+				time.Sleep(20 * time.Millisecond) // the work of the deep service
+				r.Answer()
+				return
+			}
+			if d := r.Deeper(strings.Replace(r.Kind, "front", "ledger", 1), ""); d.Code != crcode.OK {
+				r.Refuse(strconv.Itoa(int(d.Code)))
+				return
+			}
+			r.Answer()
+		},
+		Services: []crtest.Service{
+			{Name: "front", Servers: 1, Slots: 200, Kinds: map[string]string{"low": repeat, "high": minimum}},
+			{Name: "ledger", Servers: 1, Slots: 2, Kinds: map[string]string{"low": repeat, "high": minimum}},
+		},
+	})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var refusedEarly, low, lowOK atomic.Int64
+	for range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := k.Nodes[0].NewID()
+				r := k.Send(k.Nodes[0], "front/low", crtest.Request{ID: id})
+				low.Add(1)
+				if r.Code == crcode.OK {
+					lowOK.Add(1)
+				}
+				if r.Code == crcode.Overloaded && k.Ledger.Of("", id) == 0 {
+					refusedEarly.Add(1)
+				}
+			}
+		}()
+	}
+	k.Until(func() error {
+		if n := refusedEarly.Load(); n < 200 {
+			return fmt.Errorf("%d refused at the entrance", n)
+		}
+		return nil
+	})
+	before := lowOK.Load()
+	whole := 0
+	for range 20 {
+		if r := k.Send(k.Nodes[0], "front/high", crtest.Request{}); r.Code == crcode.OK {
+			whole++
+		}
+	}
+	k.Until(func() error {
+		if lowOK.Load() == before {
+			return fmt.Errorf("no ordinary request is answered")
+		}
+		return nil
+	})
+	close(stop)
+	wg.Wait()
+	k.C.Check(whole, qt.Equals, 20, qt.Commentf("protected requests answered of 20"))
+}
