--- a/internal/crnode/once_test.go
+++ b/internal/crnode/once_test.go
@@ -13,6 +13,7 @@
 	"github.com/citronramp/citronramp/internal/crnode"
 	"github.com/citronramp/citronramp/internal/crtest"
 	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
 )
 
 // ledgers is a deployment of one service with several servers.
@@ -180,11 +181,24 @@
 func TestKeeperLost(t *testing.T) {
 	t.Parallel()
 	k := crtest.Start(t, ledgers(6, nil))
+	k.Settle() // before that, no record keeper is replaced
 	ids := sendRecords(k, 40)
 	k.Nodes[5].Kill()
 	resend(k, ids, k.Nodes[0])
 	k.Nodes[4].Kill()
-	resend(k, ids, k.Nodes[1])
+	resend(k, ids[:20], k.Nodes[1])
+	// The leases of both end and their places go to others; the records must have gone with them.
+	k.Until(func() error {
+		active := 0
+		for _, n := range k.Nodes[:4] {
+			active += n.Dump().Keeper.Active
+		}
+		if active != 3*crrecord.Groups {
+			return fmt.Errorf("%d of %d places are taken", active, 3*crrecord.Groups)
+		}
+		return nil
+	})
+	resend(k, ids[20:], k.Nodes[2])
 	for _, id := range ids {
 		k.C.Check(k.Ledger.Of("ledger/record", id), qt.Equals, 1)
 	}
@@ -195,9 +209,10 @@
 func TestKeeperIsolated(t *testing.T) {
 	t.Parallel()
 	k := crtest.Start(t, ledgers(5, nil))
+	k.Settle() // before that, no record keeper is replaced
 	ids := sendRecords(k, 30)
 	lone := k.Nodes[4]
-	k.Isolate(lone.Name, lone.Front)
+	k.Partition(lone.Name)
 	var wg sync.WaitGroup
 	var ran atomic.Int64
 	wg.Add(1)
@@ -212,7 +227,7 @@
 	}()
 	resend(k, ids[10:], k.Nodes[0])
 	wg.Wait()
-	k.Rejoin(lone.Name, lone.Front)
+	k.Heal()
 	resend(k, ids[20:], lone)
 	k.C.Check(ran.Load(), qt.Equals, int64(0))
 	for _, id := range ids {
--- a/internal/crtest/client.go
+++ b/internal/crtest/client.go
@@ -157,6 +157,10 @@
 	Term      uint64 `json:"term"`
 	Version   string `json:"version"`
 	Confirmed bool   `json:"version_confirmed"`
+	Members   []struct {
+		Name    string `json:"name"`
+		Learner bool   `json:"learner"`
+	} `json:"members"`
 	Directory struct {
 		Settled bool `json:"settled"`
 		Entries int  `json:"entries"`
--- a/internal/crtest/crtest.go
+++ b/internal/crtest/crtest.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -189,16 +190,69 @@
 	n.cancel()
 }
 
-// Isolate stops all traffic from and to a process without closing a connection.
-func (k *Cluster) Isolate(name string, front *Forwarder) {
-	front.Silence(true)
-	k.eachFront(func(f *Forwarder) { f.SilenceFrom(name, true) })
+// Partition stops all traffic between the named processes and all others without closing a connection.
+func (k *Cluster) Partition(names ...string) {
+	fronts := k.fronts()
+	for owner, f := range fronts {
+		for name := range fronts {
+			if slices.Contains(names, owner) != slices.Contains(names, name) {
+				f.SilenceFrom(name, true)
+			}
+		}
+	}
+}
+
+// Heal ends every partition.
+func (k *Cluster) Heal() { k.eachFront((*Forwarder).Resume) }
+
+func (k *Cluster) fronts() map[string]*Forwarder {
+	out := map[string]*Forwarder{}
+	for _, c := range k.Controls {
+		out[c.Name] = c.Front
+	}
+	for _, n := range k.Nodes {
+		out[n.Name] = n.Front
+	}
+	return out
 }
 
-// Rejoin ends an isolation.
-func (k *Cluster) Rejoin(name string, front *Forwarder) {
-	front.Silence(false)
-	k.eachFront(func(f *Forwarder) { f.SilenceFrom(name, false) })
+// Kill makes the control instance as good as dead for all other processes at once.
+func (k *Cluster) Kill(c *Control) {
+	c.Front.Cut()
+	k.eachFront(func(f *Forwarder) { f.CutFrom(c.Name) })
+	c.cancel()
+}
+
+// Join starts a control instance with an empty data folder that waits until an operator adds it.
+func (k *Cluster) Join(name, dir string) *Control {
+	front := NewForwarder(k.C)
+	inner, operator, admin := k.listen(), k.listen(), k.listen()
+	front.Target(inner.Addr().String())
+	var join []string
+	for _, c := range k.Controls {
+		join = append(join, c.Front.Address())
+	}
+	c := &Control{process: process{Name: name, Front: front}, Control: &crcontrol.Control{
+		Settings: crsettings.Control{
+			Name: name, Domain: "a", Region: "r", DataDir: dir, Secret: Secret, StopTimeout: 5 * time.Second, Join: join,
+			Inner: front.Address(), Operator: operator.Addr().String(), Admin: admin.Addr().String(),
+		},
+		Inner: inner, Operator: operator, Admin: admin, Logger: log.NewNopLogger(),
+	}}
+	c.run(c.Control.Run)
+	k.Controls = append(k.Controls, c)
+	return c
+}
+
+// Restart stops a control instance and starts it again with its data folder.
+func (k *Cluster) Restart(c *Control) {
+	k.C.Check(c.Stop(), qt.IsNil)
+	inner, operator, admin := k.listen(), k.listen(), k.listen()
+	c.Front.Target(inner.Addr().String())
+	settings := c.Settings
+	settings.Operator, settings.Admin = operator.Addr().String(), admin.Addr().String()
+	c.Control = &crcontrol.Control{Settings: settings, Inner: inner, Operator: operator, Admin: admin, Logger: log.NewNopLogger()}
+	c.run(c.Control.Run)
 }
 
 func (k *Cluster) eachFront(f func(*Forwarder)) {
--- a/internal/crtest/forwarder.go
+++ b/internal/crtest/forwarder.go
@@ -15,7 +15,6 @@
 	mu     sync.Mutex
 	cond   *sync.Cond
 	target string
-	silent bool
 	from   map[string]bool
 	links  map[*link]bool
 	cut    bool
@@ -66,16 +65,12 @@
 	f.cond.Broadcast()
 }
 
-// Silence stops or resumes all traffic without closing a connection.
-func (f *Forwarder) Silence(on bool) { f.set(func() { f.silent = on }) }
-
 // SilenceFrom stops or resumes the traffic of the connections that one process dialed.
 func (f *Forwarder) SilenceFrom(name string, on bool) { f.set(func() { f.from[name] = on }) }
 
 // Resume ends every silence.
 func (f *Forwarder) Resume() {
 	f.set(func() {
-		f.silent = false
 		clear(f.from)
 	})
 }
@@ -171,7 +166,7 @@
 func (f *Forwarder) wait(l *link) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for !f.closed && !f.cut && (f.silent || f.silencedFrom(l)) {
+	for !f.closed && !f.cut && f.silencedFrom(l) {
 		f.cond.Wait()
 	}
 	return !f.closed && !f.cut
