--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -51,24 +52,28 @@
 	backend    *backend
 	lease      lease
 	executions executions
-	places     cradmission.Places
-	shedKinds  shedCounts
-	runTimes   runTimes
-	work       workCount
-	arrivals   *crbudget.HomeCounter
-	levels     *cradmission.LevelTable
-	reach      *cradmission.Reach
+	// placed counts the calls that hold a place at the gate.
+	placed    atomic.Int64
+	places    cradmission.Places
+	shedKinds shedCounts
+	runTimes  runTimes
+	work      workCount
+	arrivals  *crbudget.HomeCounter
+	levels    *cradmission.LevelTable
+	reach     *cradmission.Reach
 
 	clock     crkeeper.Clock
 	claims    claims
 	directory *crdirectory.Client
 	spread    *crspread.Node
 	// convictions wait until a control instance has recorded them.
-	convictions *crring.Ring[crquarantine.Fingerprint]
+	convictions *crring.Ring[conviction]
 
 	crashMu         sync.Mutex
 	quarantine      crquarantine.Tracker
 	crashedInstance string
+	// abandoned is the last run that was given up while the backend server may have gone on with it.
+	abandoned conviction
 
 	servicesMu sync.Mutex
 	services   map[string]*service
@@ -101,7 +106,7 @@
 		n.watched = map[string]bool{n.Settings.Service: true}
 		n.covered = make(map[string]bool)
 		n.changed = make(chan struct{})
-		n.convictions = crring.New[crquarantine.Fingerprint](maxConvictions)
+		n.convictions = crring.New[conviction](maxConvictions)
 		n.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		n.gate = n.newGate()
 		n.clock = crkeeper.NewClock()
@@ -160,8 +165,11 @@
 func (n *Node) drain(p *parts) int {
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.StopTimeout)
 	defer cancel()
+	n.work.refuse()
 	p.leave(ctx)
-	return n.work.stop(ctx)
+	left := n.work.stop(ctx)
+	n.settle(ctx)
+	return left
 }
 
 // tickLoop removes expired requests from the queue and lets levels and holds end.
--- a/internal/crnode/http.go
+++ b/internal/crnode/http.go
@@ -21,6 +21,10 @@
 	maxSlots             = 100000
 )
 
+// leavingWait is how long the answer to a leaving backend server waits for the runs in flight: a request that is on its
+// way may meet a server that closes idle connections. A longer run has reached the server by then.
+const leavingWait = 200 * time.Millisecond
+
 // handler returns the mux of the address for callers and for the backend server.
 func (n *Node) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -96,6 +100,9 @@
 		return
 	}
 	n.announced(time.Now(), a)
+	if a.State == StateLeaving {
+		waitUntil(r.Context(), leavingWait, func() bool { return n.placed.Load() == 0 })
+	}
 	writeJSON(w, http.StatusOK, struct {
 		LeaseMS    int64 `json:"lease_ms"`
 		IntervalMS int64 `json:"announce_interval_ms"`
@@ -139,6 +146,7 @@
 // announced renews the lease and tells the gate and the directory what changed.
 func (n *Node) announced(now time.Time, a Announcement) {
 	before := n.lease.renew(now, a)
+	n.replaced(before, a)
 	n.gate.announce(now, a.Slots)
 	if before.State != a.State || before.Instance != a.Instance {
 		_ = level.Info(n.Logger).Log("msg", "backend server announced", "state", a.State, "instance", a.Instance, "address", a.Address)
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -128,6 +128,12 @@
 
 // inPlace runs the call on the backend server, after the claim when the kind may not be repeated.
 func (n *Node) inPlace(ctx context.Context, r *run) answer {
+	n.placed.Add(1)
+	defer n.placed.Add(-1)
+	// The backend server may have left while the call waited; the answer to that announcement waits for calls in place.
+	if now, serving := n.lease.current(time.Now()); !serving || now.Instance != r.backend.Instance {
+		return refusal(crcode.Leaving, "")
+	}
 	if time.Until(r.deadline) < minSendTime {
 		return refusal(crcode.DeadlineExpired, "")
 	}
