crcli: run whole operator and caller sessions against golden transcripts

Cause: the program was never run from end to end in a test, so an answer, a code or an exit code could change unnoticed. Change: testscript sessions start control instances, nodes and stand-in backend servers as processes on ports that the kernel assigns, record what operators and callers see and compare it with the transcript in the script; -update refreshes it. Conclusion: answers, codes and exit codes of these sessions are compared at each run.

--- /dev/null
+++ b/internal/crcli/process_test.go
@@ -0,0 +1,215 @@
+package crcli_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// secret is the shared secret of every session; no output may hold it.
+const secret = "session-secret-0123456789"
+
+// sessions numbers the loopback addresses of this test process.
+var sessions atomic.Int32
+
+// loopback returns a loopback address for one session. Outgoing connections start from 127.0.0.1, so that none of them
+// takes a port between the moment the kernel assigns it and the moment a process listens on it.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid%150, 100+pid/150%150, 100+sessions.Add(1)%150)
+}
+
+// process is one process of the program that the session started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	code int
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// port returns an address whose port the kernel assigned.
+func (s *session) port(name string) (string, error) {
+	for range 100 {
+		ln, err := net.Listen("tcp", s.ip+":0")
+		if err != nil {
+			return "", err
+		}
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		// Five digits keep the columns of tables the same in every run.
+		if !s.ports[addr] && len(addr) == len(s.ip)+6 {
+			s.ports[addr], s.addrs[name] = true, addr
+			return addr, nil
+		}
+	}
+	return "", errors.New("the kernel assigned no new port")
+}
+
+// settings writes settings files: settings control NAME..., settings joining NAME or settings node NAME SERVICE DOMAIN
+// [KEY=VALUE...].
+func (s *session) settings(args []string) error {
+	if args[0] == "node" {
+		return s.nodeSettings(args[1], args[2], args[3], args[4:])
+	}
+	for _, name := range args[1:] {
+		for _, a := range []string{"inner", "operator", "admin"} {
+			if _, err := s.port(name + "." + a); err != nil {
+				return err
+			}
+		}
+	}
+	var members, joins string
+	if args[0] == "joining" {
+		joins = fmt.Sprintf("join = [%s]\n", s.controls())
+	} else if len(args) > 2 {
+		for _, name := range args[1:] {
+			members += fmt.Sprintf("\n[[control.members]]\nname = %q\ninner = %q\n", name, s.addrs[name+".inner"])
+		}
+	}
+	for _, name := range args[1:] {
+		s.names = append(s.names, name)
+		text := fmt.Sprintf("[control]\nname = %q\ndomain = \"a\"\nregion = \"nyanda\"\ninner = %q\noperator = %q\nadmin = %q\ndata_dir = %q\nsecret = %q\n%s%s",
+			name, s.addrs[name+".inner"], s.addrs[name+".operator"], s.addrs[name+".admin"], filepath.Join(s.dir, name+".data"), secret, joins, members)
+		if err := os.WriteFile(s.file(name), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// controls lists the inner addresses of all control instances that have settings, as TOML.
+func (s *session) controls() string {
+	var out []string
+	for _, n := range s.names {
+		out = append(out, fmt.Sprintf("%q", s.addrs[n+".inner"]))
+	}
+	return strings.Join(out, ", ")
+}
+
+func (s *session) nodeSettings(name, service, domain string, extra []string) error {
+	for _, a := range []string{"listen", "inner", "admin"} {
+		if _, err := s.port(name + "." + a); err != nil {
+			return err
+		}
+	}
+	text := fmt.Sprintf("[node]\nname = %q\ndomain = %q\nregion = \"nyanda\"\nservice = %q\nlisten = %q\ninner = %q\nadmin = %q\ncontrol = [%s]\n",
+		name, domain, service, s.addrs[name+".listen"], s.addrs[name+".inner"], s.addrs[name+".admin"], s.controls())
+	key := fmt.Sprintf("secret = %q\n", secret)
+	for _, e := range extra {
+		k, v, _ := strings.Cut(e, "=")
+		if k == "secret" {
+			key = ""
+		}
+		text += k + " = " + v + "\n"
+	}
+	return os.WriteFile(s.file(name), []byte(text+key), 0o600)
+}
+
+func (s *session) file(name string) string { return filepath.Join(s.dir, name+".toml") }
+
+// start runs a process of the program: start control|node NAME [FLAG...].
+func (s *session) start(args []string) error {
+	line := s.quoted("start", args)
+	args = s.expand(args)
+	name := args[1]
+	if s.runs(name) {
+		return fmt.Errorf("%s still runs", name)
+	}
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command("citronramp", append([]string{args[0], "--settings", s.file(name)}, args[2:]...)...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{name: name, cmd: cmd, log: log, done: make(chan struct{})}
+	s.processes[name] = p
+	go func() {
+		defer close(p.done)
+		_ = cmd.Wait()
+		p.code = cmd.ProcessState.ExitCode()
+		_ = log.Close()
+	}()
+	s.write("> " + line)
+	return nil
+}
+
+var signals = map[string]syscall.Signal{"TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "KILL": syscall.SIGKILL}
+
+// signal sends a signal to processes that this session started: signal NAME SIGNAME.
+func (s *session) signal(args []string) error {
+	p, sig := s.processes[s.expand(args)[0]], signals[args[1]]
+	if p == nil || sig == 0 {
+		return fmt.Errorf("signal needs a started process and one of TERM, INT, STOP, CONT and KILL, not %q", args)
+	}
+	s.write("> " + s.quoted("signal", args))
+	return p.cmd.Process.Signal(sig)
+}
+
+// exited waits until processes have ended and records their exit codes.
+func (s *session) exited(args []string) error {
+	for i, name := range s.expand(args) {
+		p := s.processes[name]
+		if p == nil {
+			return fmt.Errorf("%s was not started", name)
+		}
+		select {
+		case <-p.done:
+		case <-time.After(waitLimit):
+			return fmt.Errorf("%s did not end", name)
+		}
+		s.write(fmt.Sprintf("> exited %s\ncode %d", args[i], p.code))
+	}
+	return nil
+}
+
+// folder removes, backs up or restores the data folder of a control instance: folder remove|restore NAME or
+// folder backup NAME [OTHER], which copies it into the folder of another instance.
+func (s *session) folder(args []string) error {
+	s.write("> " + s.quoted("folder", args))
+	args = s.expand(args)
+	data, copied := filepath.Join(s.dir, args[1]+".data"), filepath.Join(s.dir, args[1]+".backup")
+	switch args[0] {
+	case "remove":
+		return os.RemoveAll(data)
+	case "backup":
+		if len(args) > 2 {
+			copied = filepath.Join(s.dir, args[2]+".data")
+		}
+		return os.CopyFS(copied, os.DirFS(data))
+	case "restore":
+		return os.CopyFS(data, os.DirFS(copied))
+	}
+	return fmt.Errorf("folder takes remove, backup or restore, not %q", args[0])
+}
+
+// runs reports whether a process was started and has not ended.
+func (s *session) runs(name string) bool {
+	p, ok := s.processes[name]
+	if !ok {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
