crnode: tell the kind with a conviction

Ruled out: the control instance's own handler, which records a whole message. Change: the run that notices the crash passes its kind on with the conviction. Conclusion: convictions are in the configuration and can be listed and lifted.

--- a/internal/crnode/crash.go
+++ b/internal/crnode/crash.go
@@ -23,7 +23,7 @@
 		return a
 	}
 	a := n.execute(ctx, r)
-	if a.code == crcode.AnswerLost && n.crashed(ctx, r.backend) {
+	if a.code == crcode.AnswerLost && n.crashed(ctx, r.backend, r.req.GetKind()) {
 		return answer{code: crcode.ServerDied, retryAfter: crashRetryAfter}
 	}
 	n.endRun(f, a)
@@ -62,8 +62,9 @@
 	n.quarantine.Finished(time.Now(), f)
 }
 
-// crashed finds out whether the backend server died, and if so makes suspects of all requests that it ran.
-func (n *Node) crashed(ctx context.Context, ann Announcement) bool {
+// crashed finds out whether the backend server died, and if so makes suspects of all requests that it ran; kind is that
+// of the run that noticed, which is the convicted one when it ran alone.
+func (n *Node) crashed(ctx context.Context, ann Announcement, kind string) bool {
 	n.crashMu.Lock()
 	defer n.crashMu.Unlock()
 	if n.crashedInstance == ann.Instance {
@@ -77,6 +78,6 @@
 	n.Counters.Add("server_crashes", 1)
 	entries := n.quarantine.Crashed(time.Now())
 	_ = level.Info(n.Logger).Log("msg", "backend server died", "instance", ann.Instance, "suspects", len(entries))
-	n.publishSuspects(entries)
+	n.publishSuspects(entries, kind)
 	return true
 }
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -63,7 +63,7 @@
 	directory *crdirectory.Client
 	spread    *crspread.Node
 	// convictions wait until a control instance has recorded them.
-	convictions *crring.Ring[crquarantine.Fingerprint]
+	convictions *crring.Ring[conviction]
 
 	crashMu         sync.Mutex
 	quarantine      crquarantine.Tracker
@@ -100,7 +100,7 @@
 		n.watched = map[string]bool{n.Settings.Service: true}
 		n.covered = make(map[string]bool)
 		n.changed = make(chan struct{})
-		n.convictions = crring.New[crquarantine.Fingerprint](maxConvictions)
+		n.convictions = crring.New[conviction](maxConvictions)
 		n.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		n.gate = n.newGate()
 		n.clock = crkeeper.NewClock()
--- a/internal/crnode/suspects.go
+++ b/internal/crnode/suspects.go
@@ -23,11 +23,11 @@
 )
 
 // publishSuspects tells the other gates of the service; the caller holds crashMu.
-func (n *Node) publishSuspects(entries []crquarantine.Entry) {
+func (n *Node) publishSuspects(entries []crquarantine.Entry, kind string) {
 	for _, e := range entries {
 		n.publishEntry(e)
 		if e.State == crquarantine.Sentenced {
-			n.convict(e.Fingerprint)
+			n.convict(conviction{e.Fingerprint, kind})
 		}
 	}
 }
@@ -124,21 +124,27 @@
 	n.quarantine.Lift(time.Now(), f)
 }
 
+// conviction is a request that is to be recorded as convicted.
+type conviction struct {
+	fingerprint crquarantine.Fingerprint
+	kind        string
+}
+
 // convict asks the control instance in charge, in the background, to record a conviction.
-func (n *Node) convict(f crquarantine.Fingerprint) {
+func (n *Node) convict(c conviction) {
 	n.Counters.Add("convictions", 1)
-	_ = level.Info(n.Logger).Log("msg", "request convicted", "fingerprint", f)
-	n.convictions.Push(f)
+	_ = level.Info(n.Logger).Log("msg", "request convicted", "fingerprint", c.fingerprint, "kind", c.kind)
+	n.convictions.Push(c)
 }
 
 // convictLoop sends convictions until they are accepted or ctx ends.
 func (n *Node) convictLoop(ctx context.Context) {
 	for {
-		f, err := n.convictions.Pop(ctx)
+		c, err := n.convictions.Pop(ctx)
 		if err != nil {
 			return
 		}
-		for n.sendConviction(ctx, f) != nil && ctx.Err() == nil {
+		for n.sendConviction(ctx, c) != nil && ctx.Err() == nil {
 			n.Counters.Add("convictions_retried", 1)
 			select {
 			case <-ctx.Done():
@@ -148,13 +154,13 @@
 	}
 }
 
-func (n *Node) sendConviction(ctx context.Context, f crquarantine.Fingerprint) error {
+func (n *Node) sendConviction(ctx context.Context, c conviction) error {
 	s, err := n.controlSession(ctx)
 	if err != nil {
 		return err
 	}
 	_, err = crwire.Call[crwire.ConvictResponse](ctx, s, MethodConvict, &crwire.ConvictRequest{
-		Fingerprint: f.String(), Service: n.Settings.Service,
+		Fingerprint: c.fingerprint.String(), Service: n.Settings.Service, Kind: c.kind,
 	})
 	return err
 }
