cradmin: wait for requests in flight at a stop

Ruled out: the order of the stop, since the shutdown comes after the leadership's hand-over. Change: Serve waits for the end of the shutdown, at most 2 s. Counters can be declared, so that 0 is shown. Conclusion: admin and operator requests that end within 2 s are answered whole.

--- a/internal/cradmin/cradmin.go
+++ b/internal/cradmin/cradmin.go
@@ -16,8 +16,12 @@
 	Dump(now time.Time) any
 }
 
-// readHeaderTimeout keeps idle strangers from holding connections.
-const readHeaderTimeout = 2 * time.Second
+const (
+	// readHeaderTimeout keeps idle strangers from holding connections.
+	readHeaderTimeout = 2 * time.Second
+	// stopGrace bounds the wait for requests in flight at a stop.
+	stopGrace = 2 * time.Second
+)
 
 // Admin is the HTTP server of the admin port.
 type Admin struct {
@@ -41,16 +45,22 @@
 	return mux
 }
 
-// Serve answers on ln until ctx ends, then finishes the requests in flight.
+// Serve answers on ln until ctx ends, then returns once the requests in flight are answered or stopGrace is over.
 func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		grace, cancel := context.WithTimeout(context.Background(), readHeaderTimeout)
+		defer close(done)
+		grace, cancel := context.WithTimeout(context.Background(), stopGrace)
 		defer cancel()
 		_ = srv.Shutdown(grace)
 	})
-	defer stop()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	err := srv.Serve(ln)
+	if !stop() {
+		// Serve returns as soon as the shutdown begins, so the requests in flight are waited for here.
+		<-done
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -64,6 +74,13 @@
 // Add adds delta to the counter called name.
 func (c *Counters) Add(name string, delta int64) { c.vars.Add(name, delta) }
 
+// Declare shows the counters called names from now on, also those that were never added to.
+func (c *Counters) Declare(names ...string) {
+	for _, n := range names {
+		c.vars.Add(n, 0)
+	}
+}
+
 // Gauge registers a value that is computed when the counters are read.
 func (c *Counters) Gauge(name string, f func() any) { c.vars.Set(name, expvar.Func(f)) }
 
