crnode: count only sent requests as attempts

Cause: docs/interface.md calls Citronramp-Attempts the number of sends to a backend server, but a refusal without any server known carried 1 to 4.

--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -43,9 +43,13 @@
 	defer cancel()
 	svc := n.service(c.kind.Service())
 	var tried []string
+	sent := 0
 	for attempt := 1; ; attempt++ {
 		a, server := n.attempt(ctx, svc, c, tried)
-		a.attempts = attempt
+		if server != "" {
+			sent++
+		}
+		a.attempts = sent
 		if a.code == crcode.OK {
 			svc.ratio.Succeeded()
 		}
