--- a/internal/crcontrol/dump.go
+++ b/internal/crcontrol/dump.go
@@ -127,6 +127,7 @@
 
 // gauges registers the values that are computed when the counters are read.
 func (c *Control) gauges() {
+	c.Counters.Declare(counterNames...)
 	c.Counters.Gauge("term", func() any { return c.replica.Status().Term })
 	c.Counters.Gauge("commit_index", func() any { return c.replica.Status().Commit })
 	c.Counters.Gauge("in_charge", func() any { return c.replica.Status().Leads })
