crsettings: name the line of every fault and keep the secret out of messages

Cause: a missing key had no line; a fault in a later [[control.members]] had the line of the first; a secret without quotes was quoted in the message, and messages are logged; two equal addresses of one process were found at the start only; an empty list was shown as Go code. Change: a missing key has the line of its table, members are numbered, the text of a broken line with a secret is not shown, equal addresses are a fault. Conclusion: check names each fault with its line.

--- a/internal/crcli/crcli.go
+++ b/internal/crcli/crcli.go
@@ -56,6 +56,12 @@
 		ErrWriter:       s.err,
 		HideHelpCommand: true,
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.NArg() == 0 {
+				return cli.ShowAppHelp(c)
+			}
+			return fmt.Errorf("no command %q; see citronramp --help", c.Args().First())
+		},
 		Commands: []*cli.Command{
 			nodeCommand(s), controlCommand(s), checkCommand(s), dumpCommand(s), ctlCommand(s), demoCommand(s), benchCommand(s),
 		},
--- a/internal/crsettings/crsettings.go
+++ b/internal/crsettings/crsettings.go
@@ -129,7 +129,7 @@
 func Parse(file string, data []byte) (*Settings, error) {
 	var tree map[string]any
 	if _, err := toml.Decode(string(data), &tree); err != nil {
-		return nil, Faults{syntaxFault(file, err)}
+		return nil, Faults{syntaxFault(file, string(data), err)}
 	}
 	p := &parser{file: file, lines: keyLines(string(data)), values: flatten("", tree, map[string]any{})}
 	s := p.settings(tree)
@@ -140,11 +140,16 @@
 	return s, nil
 }
 
-func syntaxFault(file string, err error) Fault {
+func syntaxFault(file, text string, err error) Fault {
 	f := Fault{File: file, Code: crcode.SettingsUnreadable, Message: err.Error()}
 	if pe, ok := err.(toml.ParseError); ok {
 		f.Line = pe.Position.Line
 		f.Message = pe.Message
 	}
+	// The message may quote the value, and messages are logged; without a line it may come from any of them.
+	lines := strings.Split(text, "\n")
+	if f.Line < 1 || f.Line > len(lines) || strings.Contains(lines[f.Line-1], "secret") {
+		f.Message = "this is not TOML; put texts in double quotes"
+	}
 	return f
 }
--- a/internal/crsettings/fields.go
+++ b/internal/crsettings/fields.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"regexp"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/crcode"
@@ -37,7 +39,19 @@
 	p.faults = append(p.faults, Fault{File: p.file, Line: p.line(key), Key: key, Code: code, Message: fmt.Sprintf(format, args...)})
 }
 
-func (p *parser) line(key string) int { return p.lines[key] }
+// line returns where a key stands, or the table that lacks it.
+func (p *parser) line(key string) int {
+	for {
+		if n, ok := p.lines[key]; ok {
+			return n
+		}
+		i := strings.LastIndexByte(key, '.')
+		if i < 0 {
+			return 0
+		}
+		key = key[:i]
+	}
+}
 
 // take returns the value of a key and notes that the key exists.
 func (p *parser) take(key string) (any, bool) {
@@ -59,7 +73,33 @@
 }
 
 func (p *parser) bad(key string, v any, allowed string) {
-	p.fault(key, crcode.SettingsBadValue, "%#v is not allowed; allowed is %s", v, allowed)
+	p.fault(key, crcode.SettingsBadValue, "%s is not allowed; allowed is %s", shown(v), allowed)
+}
+
+// shown returns a value as it stands in a settings file.
+func shown(v any) string {
+	switch x := v.(type) {
+	case nil:
+		return "nothing"
+	case string:
+		return strconv.Quote(x)
+	case []any:
+		return fmt.Sprintf("a list of %d", len(x))
+	case map[string]any, []map[string]any:
+		return "a table"
+	}
+	return fmt.Sprint(v)
+}
+
+// distinct records addresses of one process that are the same.
+func (p *parser) distinct(keys ...string) {
+	for i, key := range keys {
+		for _, before := range keys[:i] {
+			if v, ok := p.values[key].(string); ok && v == p.values[before] {
+				p.fault(key, crcode.SettingsBadValue, "%s is also the value of %s; allowed is an address of its own", shown(v), before)
+			}
+		}
+	}
 }
 
 const nameAllowed = "1 to 63 of a-z, 0-9 and -, with no - at either end"
--- a/internal/crsettings/lines.go
+++ b/internal/crsettings/lines.go
@@ -1,6 +1,9 @@
 package crsettings
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // flatten turns nested tables into dotted keys; lists of tables keep their value.
 func flatten(prefix string, tree, out map[string]any) map[string]any {
@@ -18,7 +21,8 @@
 	return out
 }
 
-// keyLines maps each dotted key and each table to the line where it first stands.
+// keyLines maps each dotted key and each table to the line where it first stands; the tables of a list are also counted
+// from 1, as in "control.members[2].inner".
 func keyLines(text string) map[string]int {
 	lines := make(map[string]int)
 	note := func(key string, n int) {
@@ -27,11 +31,17 @@
 		}
 	}
 	table := ""
+	entries := make(map[string]int)
 	for i, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
 		if strings.HasPrefix(line, "[") {
 			table = strings.Trim(strings.SplitN(line, "#", 2)[0], "[] \t")
 			note(table, i+1)
+			if strings.HasPrefix(line, "[[") {
+				entries[table]++
+				table = fmt.Sprintf("%s[%d]", table, entries[table])
+				note(table, i+1)
+			}
 			continue
 		}
 		name, _, ok := strings.Cut(line, "=")
--- a/internal/crsettings/tables.go
+++ b/internal/crsettings/tables.go
@@ -1,6 +1,7 @@
 package crsettings
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/crcode"
@@ -23,6 +24,7 @@
 }
 
 func (p *parser) node() *Node {
+	p.distinct("node.listen", "node.inner", "node.admin")
 	return &Node{
 		Name:         p.name("node.name"),
 		Domain:       p.name("node.domain"),
@@ -42,6 +44,7 @@
 }
 
 func (p *parser) control() *Control {
+	p.distinct("control.inner", "control.operator", "control.admin")
 	c := &Control{
 		Name:        p.name("control.name"),
 		Domain:      p.name("control.domain"),
@@ -98,10 +101,11 @@
 	}
 	var out []Member
 	seen, self := map[string]bool{}, false
-	for _, t := range list {
-		m := p.member(key, t)
+	for i, t := range list {
+		entry := fmt.Sprintf("%s[%d]", key, i+1)
+		m := p.member(entry, t)
 		if seen[m.Name] || seen[m.Inner] {
-			p.fault(key, crcode.SettingsBadValue, "%q or its address stands twice; allowed is once", m.Name)
+			p.fault(entry, crcode.SettingsBadValue, "%q or its address stands twice; allowed is once", m.Name)
 		}
 		seen[m.Name], seen[m.Inner] = true, true
 		self = self || m.Name == c.Name && m.Inner == c.Inner
