crcontrol: call no version in force before the tree has sent it

Cause: show spread right after a change said "in force on 1 of 1 nodes" while the node did not have it: the tree counts nodes as lagging behind what it has sent, and a version not sent yet had no lagging nodes. Ruled out: the nodes' acknowledgements, since wait never returned early. show leader at another instance than the leader said "0 of 3 voters can be reached", which only the leader knows. Change: a root that has not reached the asked version counts none of its nodes; show leader leaves out what it can't know. Conclusion: show spread and wait agree.

--- a/internal/crcontrol/progress.go
+++ b/internal/crcontrol/progress.go
@@ -38,7 +38,8 @@
 		// The progress below tells whether it is in force, and names the nodes if not.
 		_ = c.root.WaitInForce(ctx, v)
 	}
-	st := c.root.Status().Progress
+	root := c.root.Status()
+	st := root.Progress
 	p := progress{nodes: st.Nodes, inForce: st.Nodes, minimum: st.Minimum}
 	if st.Minimum.Less(v) {
 		behind := st.LaggingMore
@@ -48,6 +49,10 @@
 				p.behind = append(p.behind, l.Name)
 			}
 		}
+		if root.Version.Less(v) {
+			// The tree has not sent the version yet, and counts nodes as lagging only behind what it has sent.
+			behind = st.Nodes
+		}
 		p.inForce = max(p.nodes-behind, 0)
 	}
 	return p
--- a/internal/crprint/answers.go
+++ b/internal/crprint/answers.go
@@ -126,8 +126,14 @@
 }
 
 func (a Leader) table() table {
-	if a.Name == "" {
+	switch {
+	case a.Name == "" && a.Reachable == 0:
+		return table{sentences: []string{fmt.Sprintf("This instance knows of no control member in charge. More than half of the %d voters must be reached.", a.Voters)}}
+	case a.Name == "":
 		return table{sentences: []string{fmt.Sprintf("No control member is in charge. %d of %d voters can be reached; more than half must be.", a.Reachable, a.Voters)}}
+	case a.Reachable == 0:
+		// Only the leader itself knows its lease and whom it reaches.
+		return table{sentences: []string{fmt.Sprintf("%s at %s is in charge in term %d. There are %d voters.", a.Name, a.Address, a.Term, a.Voters)}}
 	}
 	return table{sentences: []string{fmt.Sprintf("%s at %s is in charge in term %d. %d of %d voters can be reached. Its lease ends in %s.",
 		a.Name, a.Address, a.Term, a.Reachable, a.Voters, milliseconds(a.LeaseMS))}}
