crkeeper: tell when to return while a keeper group has no members

Cause: the refusal with code 220 says "after Retry-After" but carried none in this case. Change: it carries 1 s.

--- a/internal/crkeeper/client.go
+++ b/internal/crkeeper/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -66,7 +67,9 @@
 func (c *Client) group(id crrecord.ID) (crrecord.Group, error) {
 	g, ok := c.Groups.Group(id.Group())
 	if !ok || len(g.Members) == 0 {
-		return g, crcode.New(crcode.NotConfigured, "keeper group %d has no members yet", id.Group())
+		return g, &crcode.Error{
+			Code: crcode.NotConfigured, Detail: fmt.Sprintf("keeper group %d has no members yet", id.Group()), RetryAfter: time.Second,
+		}
 	}
 	return g, nil
 }
