--- /dev/null
+++ b/internal/crcli/docs_test.go
@@ -0,0 +1,143 @@
+package crcli_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crnode"
+)
+
+func page(c *qt.C, name string) string {
+	b, err := os.ReadFile(filepath.Join("../..", name))
+	c.Assert(err, qt.IsNil)
+	return string(b)
+}
+
+// scripts returns the commands of all golden sessions, without their transcripts.
+func scripts(c *qt.C) string {
+	files, err := filepath.Glob("testdata/*.txt")
+	c.Assert(err, qt.IsNil)
+	var all strings.Builder
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		c.Assert(err, qt.IsNil)
+		text, _, _ := strings.Cut(string(b), "\n-- want --")
+		all.WriteString(text)
+	}
+	return all.String()
+}
+
+// TestShownCommandsAreRun guards against a command on a page that no session runs.
+func TestShownCommandsAreRun(t *testing.T) {
+	c := qt.New(t)
+	run := scripts(c)
+	operators := page(c, "docs/operators.md")
+	seen := 0
+	for _, m := range regexp.MustCompile(`(?m)^> ([a-z]+ [a-z]+)`).FindAllStringSubmatch(operators, -1) {
+		seen++
+		c.Check(strings.Contains(run, m[1]), qt.IsTrue, qt.Commentf("%q", m[1]))
+	}
+	line := regexp.MustCompile(`(?m)^    bin/citronramp (.+)$`)
+	for _, m := range line.FindAllStringSubmatch(operators+page(c, "README.md"), -1) {
+		seen++
+		c.Check(strings.Contains(run, sessionLine(m[1])), qt.IsTrue, qt.Commentf("%q, as %q", m[1], sessionLine(m[1])))
+	}
+	c.Assert(seen > 40, qt.IsTrue, qt.Commentf("%d commands found", seen))
+}
+
+// sessionLine turns a command line of a page into the command of a session.
+func sessionLine(line string) string {
+	settings := regexp.MustCompile(`docs/examples/([a-z0-9-]+)\.toml`)
+	name := ""
+	if m := settings.FindStringSubmatch(line); m != nil {
+		name = map[string]string{"trial": "control-1", "node": "ledger-2"}[m[1]]
+		if name == "" {
+			name = m[1]
+		}
+	}
+	if strings.HasPrefix(line, "node ") && strings.Contains(line, "trial") {
+		name = "ledger-1"
+	}
+	line = strings.NewReplacer("127.0.0.1:7441", "{control-4.inner}", "127.0.0.1:7301", "{ledger-1.admin}").Replace(line)
+	words := strings.Fields(line)
+	switch words[0] {
+	case "ctl":
+		return "ctl " + name + " " + strings.Join(words[3:], " ")
+	case "check":
+		return "program check " + name + ".toml"
+	case "dump":
+		return "program " + line
+	}
+	return strings.TrimSpace("start " + words[0] + " " + name + " " + strings.Join(words[3:], " "))
+}
+
+// TestHeadersOfThePage guards against a header in the code that docs/interface.md does not list, and the other way round.
+func TestHeadersOfThePage(t *testing.T) {
+	c := qt.New(t)
+	listed := regexp.MustCompile("`(Citronramp-[A-Za-z-]*[a-z])[`:]").FindAllStringSubmatch(page(c, "docs/interface.md"), -1)
+	var onPage []string
+	for _, m := range listed {
+		onPage = append(onPage, m[1])
+	}
+	slices.Sort(onPage)
+	inCode := []string{
+		crnode.HeaderRequestID, crnode.HeaderDeadline, crnode.HeaderContext, crnode.HeaderCallKey, crnode.HeaderOutcome, crnode.HeaderCode,
+		crnode.HeaderAttempts, crnode.HeaderRetryAfter, "Citronramp-Operator",
+	}
+	slices.Sort(inCode)
+	c.Assert(slices.Compact(onPage), qt.DeepEquals, inCode)
+	// The list above is complete: no other header is written in the code of the two processes.
+	for _, h := range literals(c, `"(Citronramp-[A-Za-z-]+[a-z])"`) {
+		c.Check(slices.Contains(inCode, h), qt.IsTrue, qt.Commentf("%s", h))
+	}
+}
+
+// literals returns the first group of a pattern in the Go code of node, control instance and ctl, tests left out.
+func literals(c *qt.C, pattern string) []string {
+	var out []string
+	for _, dir := range []string{"../crnode", "../crcontrol", "."} {
+		files, err := filepath.Glob(dir + "/*.go")
+		c.Assert(err, qt.IsNil)
+		for _, f := range files {
+			if strings.HasSuffix(f, "_test.go") {
+				continue
+			}
+			b, err := os.ReadFile(f)
+			c.Assert(err, qt.IsNil)
+			for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(string(b), -1) {
+				out = append(out, m[1])
+			}
+		}
+	}
+	c.Assert(len(out) > 0, qt.IsTrue)
+	return out
+}
+
+// TestPageListsCounters guards against a counter or a settings key that operators can't look up.
+func TestPageListsCounters(t *testing.T) {
+	c := qt.New(t)
+	operators := page(c, "docs/operators.md")
+	for _, name := range literals(c, `Counters\.(?:Add|Gauge)\("([a-z_]+[a-z])"`) {
+		c.Check(strings.Contains(operators, "`"+name+"`"), qt.IsTrue, qt.Commentf("counter %s", name))
+	}
+	b, err := os.ReadFile("../crsettings/tables.go")
+	c.Assert(err, qt.IsNil)
+	for _, m := range regexp.MustCompile(`"(?:node|control)\.([a-z_]+)"`).FindAllStringSubmatch(string(b), -1) {
+		c.Check(strings.Contains(operators, "`"+m[1]+"`"), qt.IsTrue, qt.Commentf("settings key %s", m[1]))
+	}
+}
+
+// TestPageListsDumpKeys guards against a key of the state dump that operators can't look up.
+func TestPageListsDumpKeys(t *testing.T) {
+	c := qt.New(t)
+	operators := page(c, "docs/operators.md")
+	for _, key := range literals(c, "`json:\"([a-z_]+)[\",]") {
+		c.Check(strings.Contains(operators, "`"+key+"`") || strings.Contains(page(c, "docs/interface.md"), `"`+key+`"`), qt.IsTrue, qt.Commentf("key %s", key))
+	}
+}
--- a/internal/crcli/process_test.go
+++ b/internal/crcli/process_test.go
@@ -7,10 +7,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/citronramp/citronramp/internal/crsettings"
 )
 
 // secret is the shared secret of every session; no output may hold it.
@@ -213,3 +216,50 @@
 		return true
 	}
 }
+
+var exampleAddress = regexp.MustCompile(`127\.0\.0\.1:(\d{4})`)
+
+// example copies files of docs/examples as settings of the process that they name. Each port in them becomes one that the
+// kernel assigned, the same in all files, and data folders lie in the session's folder: example FILE...
+func (s *session) example(args []string) error {
+	for _, file := range args {
+		text, err := os.ReadFile(filepath.Join(s.root, "docs", "examples", file))
+		if err != nil {
+			return err
+		}
+		for _, m := range exampleAddress.FindAllStringSubmatch(string(text), -1) {
+			if s.addrs["port "+m[1]] == "" {
+				if _, err := s.port("port " + m[1]); err != nil {
+					return err
+				}
+			}
+		}
+		out := exampleAddress.ReplaceAllStringFunc(string(text), func(a string) string {
+			return s.addrs["port "+strings.TrimPrefix(a, "127.0.0.1:")]
+		})
+		if err := s.adopt(strings.ReplaceAll(out, `data_dir = "out`, `data_dir = "`+s.dir)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// adopt writes a settings file for each process that it names and notes the addresses.
+func (s *session) adopt(text string) error {
+	set, err := crsettings.Parse("example", []byte(text))
+	if err != nil {
+		return err
+	}
+	if c := set.Control; c != nil {
+		s.names = append(s.names, c.Name)
+		s.addrs[c.Name+".inner"], s.addrs[c.Name+".operator"], s.addrs[c.Name+".admin"] = c.Inner, c.Operator, c.Admin
+		if err := os.WriteFile(s.file(c.Name), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	if n := set.Node; n != nil {
+		s.addrs[n.Name+".listen"], s.addrs[n.Name+".inner"], s.addrs[n.Name+".admin"] = n.Listen, n.Inner, n.Admin
+		return os.WriteFile(s.file(n.Name), []byte(text), 0o600)
+	}
+	return nil
+}
--- a/internal/crcli/session_test.go
+++ b/internal/crcli/session_test.go
@@ -1,10 +1,12 @@
 package crcli_test
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"sync"
@@ -32,11 +34,15 @@
 // transcript at the end of each script, so that no answer changes unnoticed.
 func TestSessions(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata",
 		UpdateScripts: *update,
 		Setup: func(e *testscript.Env) error {
-			s := newSession(e.WorkDir)
+			s := newSession(e.WorkDir, root)
 			e.Values[sessionKey{}] = s
 			e.Defer(s.close)
 			return nil
@@ -47,6 +53,8 @@
 			"leader":   do((*session).leader),
 			"save":     do((*session).save),
 			"refused":  do((*session).refused),
+			"never":    do((*session).never),
+			"example":  do((*session).example),
 			"settings": do((*session).settings),
 			"start":    do((*session).start),
 			"signal":   do((*session).signal),
@@ -73,7 +81,7 @@
 
 // session is one script's processes, stand-in backend servers, saved values and transcript.
 type session struct {
-	dir       string
+	dir, root string
 	ip        string
 	client    *http.Client
 	processes map[string]*process
@@ -89,9 +97,9 @@
 	record    strings.Builder
 }
 
-func newSession(dir string) *session {
+func newSession(dir, root string) *session {
 	return &session{
-		dir: dir, ip: loopback(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		dir: dir, root: root, ip: loopback(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		processes: map[string]*process{}, addrs: map[string]string{}, ports: map[string]bool{}, backends: map[string]*backend{},
 		vars: map[string]string{}, pending: map[string]chan string{}, scrub: newScrubber(dir),
 	}
@@ -205,6 +213,29 @@
 	return nil
 }
 
+// never repeats a command as until does and fails when its output matches the first pattern before the second one:
+// never BAD PATTERN COMMAND ARGS...
+func (s *session) never(args []string) error {
+	bad, err := regexp.Compile(args[0])
+	if err != nil {
+		return err
+	}
+	good, err := regexp.Compile(args[1])
+	if err != nil {
+		return err
+	}
+	s.write("> " + s.quoted("never", args))
+	var seen error
+	err = poll(func() (bool, error) {
+		out, err := s.probe(args[2], args[3:])
+		if bad.MatchString(out) {
+			seen = fmt.Errorf("%q gave:\n%s", args, out)
+		}
+		return seen != nil || err == nil && good.MatchString(out), err
+	})
+	return errors.Join(seen, err)
+}
+
 // poll asks again and again until the condition holds or the limit is over; the last error is part of the result.
 func poll(f func() (bool, error)) error {
 	deadline := time.Now().Add(waitLimit)
