--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -47,10 +47,14 @@
 	svc := n.service(c.kind.Service())
 	var tried []string
 	var stands answer
+	sent := 0
 	for attempt := 1; ; attempt++ {
 		a, server := n.attempt(ctx, svc, c, tried)
+		if server != "" {
+			sent++
+		}
 		stands = standing(stands, a)
-		stands.attempts = attempt
+		stands.attempts = sent
 		if a.code == crcode.OK && a.status < http.StatusInternalServerError {
 			svc.ratio.Succeeded()
 		}
