crcapacity: measure calls and control with real processes

Cause: the latency target of a call and the budgets of control had no benchmark that runs whole nodes and control instances. Change: new package and subcommand "citronramp capacity" with call (latency added against a direct call in the same run, processor time, allocations), control (acceptance, in force, fail-over through a forwarder that closes or goes silent) and cost (processor time, bytes and memory for each node, with fitted lines).

--- /dev/null
+++ b/internal/crcapacity/call.go
@@ -0,0 +1,285 @@
+package crcapacity
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/pkg/crrecord"
+)
+
+// Call measures what nodes add to a call, against a direct HTTP call to the same backend server in the same run.
+type Call struct {
+	// Slots are those of the backend server; half of them are busy.
+	Slots  int
+	Work   time.Duration
+	Rounds int
+	Round  time.Duration
+	// CostCalls is the number of calls of each path for processor time and allocations.
+	CostCalls int
+	Out       io.Writer
+}
+
+// callNodes is the number of nodes: the three keepers of most groups then lie on other nodes than the gate.
+const callNodes = 8
+
+// path is one way to the backend server.
+type path struct {
+	name string
+	url  string
+	// prefix makes ids for a kind that may not be repeated.
+	prefix string
+}
+
+// sample is one call: how long it took and how much of that was outside the backend server.
+type sample struct{ total, outside time.Duration }
+
+// Run measures and prints the tables.
+func (m Call) Run(ctx context.Context) (err error) {
+	c, err := newCluster(1, false)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, c.stop()) }()
+	if err := c.services(callNodes); err != nil {
+		return err
+	}
+	if err := c.grow(callNodes, callNodes); err != nil {
+		return err
+	}
+	if err := c.settled(); err != nil {
+		return err
+	}
+	b := &backend{service: "s0", node: c.nodes[0].Settings.Listen, slots: m.Slots}
+	if err := b.start(); err != nil {
+		return err
+	}
+	defer b.stop()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	paths := m.paths(c, b)
+	for _, p := range paths {
+		if err := c.until(func() error { return p.repeat(ctx, client) }); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+	}
+	if err := m.latency(ctx, b, client, paths); err != nil {
+		return err
+	}
+	return m.cost(ctx, b, client, paths)
+}
+
+func (m Call) paths(c *cluster, b *backend) []path {
+	same, other := c.nodes[0], c.nodes[1]
+	via := func(name, kind string, n *crnode.Node) path {
+		p := path{name: name, url: "http://" + n.Settings.Listen + "/v1/call/s0/" + kind}
+		if kind == "once" {
+			p.prefix = n.Prefix()
+		}
+		return p
+	}
+	return []path{
+		{name: "direct", url: "http://" + b.address + "/read"},
+		via("repeatable, entrance at the gate", "read", same),
+		via("repeatable, other entrance", "read", other),
+		via("non-repeatable, entrance at the gate", "once", same),
+		via("non-repeatable, other entrance", "once", other),
+	}
+}
+
+// requestBytes is the length of a request's body.
+const requestBytes = 1 << 10
+
+var requestBody = bytes.Repeat([]byte("r"), requestBytes)
+
+func (p path) call(ctx context.Context, client *http.Client) (sample, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url, bytes.NewReader(requestBody))
+	if err != nil {
+		return sample{}, err
+	}
+	if p.prefix != "" {
+		req.Header.Set(crnode.HeaderRequestID, crrecord.NewID(p.prefix, time.Now().UnixMilli(), rand.Uint64()).String())
+	}
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return sample{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	total := time.Since(start)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return sample{}, errors.Join(err, fmt.Errorf("%s: status %d: %.200s", p.name, resp.StatusCode, body))
+	}
+	text, _, _ := bytes.Cut(body, []byte(" "))
+	ns, err := strconv.ParseInt(string(text), 10, 64)
+	return sample{total, total - time.Duration(ns)}, err
+}
+
+// warmCalls must succeed in a row on each path before the measurement.
+const warmCalls = 100
+
+func (p path) repeat(ctx context.Context, client *http.Client) error {
+	for range warmCalls {
+		if _, err := p.call(ctx, client); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// latency runs workers that keep half of the slots busy and take the paths in turn, each in its own order.
+func (m Call) latency(ctx context.Context, b *backend, client *http.Client, paths []path) error {
+	b.work.Store(int64(m.Work))
+	added := make([]map[string][]float64, len(paths))
+	for i := range added {
+		added[i] = map[string][]float64{}
+	}
+	if _, err := m.round(ctx, client, paths, m.Round/4); err != nil {
+		return err
+	}
+	calls := 0
+	for range m.Rounds {
+		got, err := m.round(ctx, client, paths, m.Round)
+		if err != nil {
+			return err
+		}
+		for i, s := range got {
+			calls += len(s)
+			for _, q := range []float64{0.5, 0.99} {
+				name := fmt.Sprintf("p%.0f", 100*q)
+				t, o := at(s, q)
+				t0, o0 := at(got[0], q)
+				added[i][name] = append(added[i][name], milliseconds(t-t0))
+				added[i][name+" outside"] = append(added[i][name+" outside"], milliseconds(o-o0))
+				added[i][name+" total"] = append(added[i][name+" total"], milliseconds(t))
+			}
+		}
+	}
+	_, _ = fmt.Fprintf(m.Out, "Latency added to a call, ms; %d slots, %d busy, work %s, %d rounds of %s, %d calls; median (lowest to highest) of the rounds\n",
+		m.Slots, m.Slots/2, m.Work, m.Rounds, m.Round, calls)
+	rows := [][]string{{"path", "p50 total", "p50 added", "p99 total", "p99 added", "p50 added outside the server", "p99 added outside the server"}}
+	for i, p := range paths {
+		row := []string{p.name}
+		for _, f := range []string{"p50 total", "p50", "p99 total", "p99", "p50 outside", "p99 outside"} {
+			row = append(row, Summarize(added[i][f]).String())
+		}
+		rows = append(rows, row)
+	}
+	return writeTable(m.Out, rows)
+}
+
+// at returns the quantile of the total times and of the times outside the backend server.
+func at(s []sample, q float64) (total, outside time.Duration) {
+	t := make([]time.Duration, len(s))
+	o := make([]time.Duration, len(s))
+	for i, x := range s {
+		t[i], o[i] = x.total, x.outside
+	}
+	slices.Sort(t)
+	slices.Sort(o)
+	return quantile(t, q), quantile(o, q)
+}
+
+// round returns the samples of each path; a failed call ends the measurement.
+func (m Call) round(ctx context.Context, client *http.Client, paths []path, length time.Duration) ([][]sample, error) {
+	var mu sync.Mutex
+	var failed error
+	all := make([][]sample, len(paths))
+	end := time.Now().Add(length)
+	var wg sync.WaitGroup
+	for range m.Slots / 2 {
+		wg.Go(func() {
+			mine := make([][]sample, len(paths))
+			var err error
+			for err == nil && time.Now().Before(end) {
+				for _, i := range rand.Perm(len(paths)) {
+					var s sample
+					if s, err = paths[i].call(ctx, client); err != nil {
+						break
+					}
+					mine[i] = append(mine[i], s)
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failed = errors.Join(failed, err)
+			for i := range mine {
+				all[i] = append(all[i], mine[i]...)
+			}
+		})
+	}
+	wg.Wait()
+	return all, failed
+}
+
+// cpuTime returns the processor time of this process.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// costWorkers keeps calls in flight while processor time is measured.
+const costWorkers = 4
+
+// cost measures processor time and allocations of each path; caller and backend server are in the direct path too.
+func (m Call) cost(ctx context.Context, b *backend, client *http.Client, paths []path) error {
+	b.work.Store(0)
+	cpu, allocs, size := make([][]float64, len(paths)), make([][]float64, len(paths)), make([][]float64, len(paths))
+	for range m.Rounds {
+		for i, p := range paths {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			cpu0 := cpuTime()
+			if err := m.burst(ctx, client, p); err != nil {
+				return err
+			}
+			used := cpuTime() - cpu0
+			runtime.ReadMemStats(&after)
+			n := float64(m.CostCalls)
+			cpu[i] = append(cpu[i], float64(used.Microseconds())/n)
+			allocs[i] = append(allocs[i], float64(after.Mallocs-before.Mallocs)/n)
+			size[i] = append(size[i], float64(after.TotalAlloc-before.TotalAlloc)/n/1000)
+		}
+	}
+	_, _ = fmt.Fprintf(m.Out, "\nCost of a call, caller and backend server included; %d rounds of %d calls, %d at a time; median (lowest to highest)\n", m.Rounds, m.CostCalls, costWorkers)
+	rows := [][]string{{"path", "processor time, us", "above direct, us", "allocations", "above direct", "allocated, KB"}}
+	for i, p := range paths {
+		c, a := Summarize(cpu[i]), Summarize(allocs[i])
+		rows = append(rows, []string{
+			p.name, c.String(), fmt.Sprintf("%.1f", c.Median-Summarize(cpu[0]).Median),
+			fmt.Sprintf("%.0f", a.Median), fmt.Sprintf("%.0f", a.Median-Summarize(allocs[0]).Median), fmt.Sprintf("%.1f", Summarize(size[i]).Median),
+		})
+	}
+	return writeTable(m.Out, rows)
+}
+
+func (m Call) burst(ctx context.Context, client *http.Client, p path) error {
+	var wg sync.WaitGroup
+	errs := make([]error, costWorkers)
+	for w := range costWorkers {
+		wg.Go(func() {
+			for range m.CostCalls / costWorkers {
+				if _, errs[w] = p.call(ctx, client); errs[w] != nil {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/crcapacity/cluster.go
@@ -0,0 +1,233 @@
+package crcapacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime/pprof"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/citronramp/citronramp/internal/crcontrol"
+	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/internal/crsettings"
+)
+
+const (
+	// clusterSecret is the shared secret of a cluster that lives and ends in one process on loopback.
+	clusterSecret = "capacity-secret-on-loopback"
+	stopTimeout   = 5 * time.Second
+	// startTimeout bounds the wait until a cluster is ready.
+	startTimeout = 2 * time.Minute
+	pollInterval = 5 * time.Millisecond
+)
+
+// cluster is a set of control instances and nodes in this process.
+type cluster struct {
+	controls []*crcontrol.Control
+	nodes    []*crnode.Node
+	network  *network
+	// controlBytes and nodeBytes count the connections that control instances and nodes accepted.
+	controlBytes, nodeBytes atomic.Int64
+
+	dir    string
+	cancel context.CancelFunc
+	ctx    context.Context
+	wg     sync.WaitGroup
+}
+
+// newCluster starts control instances; with forward set, traffic to them goes through a network with faults.
+func newCluster(controls int, forward bool) (*cluster, error) {
+	dir, err := os.MkdirTemp("", "citronramp-capacity-")
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{dir: dir, network: newNetwork()}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	var members []crsettings.Member
+	for i := range controls {
+		ln, err := c.listeners(3, &c.controlBytes)
+		if err != nil {
+			return nil, errors.Join(err, c.stop())
+		}
+		name := fmt.Sprintf("control-%d", i+1)
+		inner := ln[0].Addr().String()
+		if forward {
+			if inner, err = c.network.listen(name, inner); err != nil {
+				return nil, errors.Join(err, c.stop())
+			}
+		}
+		members = append(members, crsettings.Member{Name: name, Inner: inner})
+		c.controls = append(c.controls, &crcontrol.Control{
+			Settings: crsettings.Control{
+				Name: name, Domain: domain(i), Region: "r", DataDir: filepath.Join(dir, name), Secret: clusterSecret,
+				StopTimeout: stopTimeout, Inner: inner, Operator: ln[1].Addr().String(), Admin: ln[2].Addr().String(),
+			},
+			Inner: ln[0], Operator: ln[1], Admin: ln[2], Logger: log.NewNopLogger(), NewCluster: true,
+		})
+	}
+	for _, ctl := range c.controls {
+		ctl.Settings.Members = members
+		c.run("control", ctl.Run)
+	}
+	return c, c.until(func() error { _, err := c.command("show version"); return err })
+}
+
+// run starts a process of the cluster; the label tells its share in a CPU profile.
+func (c *cluster) run(role string, f func(context.Context) error) {
+	c.wg.Go(func() {
+		pprof.Do(c.ctx, pprof.Labels("role", role), func(ctx context.Context) { _ = f(ctx) })
+	})
+}
+
+func domain(i int) string { return string(rune('a' + i%23)) }
+
+// listeners opens loopback ports; the bytes of the first one are counted.
+func (c *cluster) listeners(n int, bytes *atomic.Int64) ([]net.Listener, error) {
+	var out []net.Listener
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		if i == 0 && bytes != nil {
+			ln = counted{ln, bytes}
+		}
+		out = append(out, ln)
+	}
+	return out, nil
+}
+
+// addNode starts a node for a service.
+func (c *cluster) addNode(service string) (*crnode.Node, error) {
+	ln, err := c.listeners(1, &c.nodeBytes)
+	if err != nil {
+		return nil, err
+	}
+	more, err := c.listeners(2, nil)
+	if err != nil {
+		return nil, err
+	}
+	i := len(c.nodes)
+	var control []string
+	for k := range c.controls {
+		control = append(control, c.controls[(i+k)%len(c.controls)].Settings.Inner)
+	}
+	n := &crnode.Node{
+		Settings: crsettings.Node{
+			Name: fmt.Sprintf("%s-%d", service, i+1), Domain: domain(i), Region: "r", Service: service,
+			Listen: more[0].Addr().String(), Inner: ln[0].Addr().String(), Admin: more[1].Addr().String(),
+			Control: control, Secret: clusterSecret, MaxBodyBytes: 1 << 20, MaxRequests: 2000,
+			QueueLength: 400, QueueTime: 100 * time.Millisecond, StopTimeout: stopTimeout,
+		},
+		Callers: more[0], Inner: ln[0], Admin: more[1], Logger: log.NewNopLogger(),
+	}
+	c.nodes = append(c.nodes, n)
+	c.run("node", n.Run)
+	return n, nil
+}
+
+// command sends an operator command to the first control instance.
+func (c *cluster) command(line string) (string, error) { return c.commandAt(0, line) }
+
+func (c *cluster) commandAt(i int, line string) (string, error) {
+	req, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+c.controls[i].Settings.Operator+"/v1/command", strings.NewReader(line))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+clusterSecret)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", line, strings.TrimSpace(string(text)))
+	}
+	return string(text), err
+}
+
+// change sends a change and returns the version that it got.
+func (c *cluster) change(i int, line string) (string, error) {
+	text, err := c.commandAt(i, line)
+	if err != nil {
+		return "", err
+	}
+	_, rest, ok := strings.Cut(text, "has version ")
+	if !ok {
+		return "", fmt.Errorf("%s: no version in %q", line, text)
+	}
+	version, _, _ := strings.Cut(rest, ".\n")
+	return version, nil
+}
+
+// until calls f until it succeeds.
+func (c *cluster) until(f func() error) error {
+	end := time.Now().Add(startTimeout)
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// services makes services with one repeatable and one non-repeatable kind each.
+func (c *cluster) services(n int) error {
+	for i := range n {
+		for _, line := range []string{
+			"create service s%d", "create kind s%d/read worth 1 repeat yes deadline 2s", "create kind s%d/once worth 1 repeat no deadline 2s",
+		} {
+			if _, err := c.command(fmt.Sprintf(line, i)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// ready waits until the newest version is in force on all nodes.
+func (c *cluster) ready() error {
+	return c.until(func() error {
+		version, err := c.change(0, "set kind s0/read worth 2")
+		if err != nil {
+			return err
+		}
+		return c.inForce(version)
+	})
+}
+
+// inForce waits until the version is in force on all nodes.
+func (c *cluster) inForce(version string) error {
+	text, err := c.command("wait " + version)
+	if err != nil {
+		return err
+	}
+	if want := fmt.Sprintf("on all %d nodes", len(c.nodes)); !strings.Contains(text, want) {
+		return fmt.Errorf("wait: %q lacks %q", text, want)
+	}
+	return nil
+}
+
+// stop ends every process and removes the data folders.
+func (c *cluster) stop() error {
+	c.cancel()
+	c.wg.Wait()
+	c.network.close()
+	http.DefaultClient.CloseIdleConnections()
+	return os.RemoveAll(c.dir)
+}
--- /dev/null
+++ b/internal/crcapacity/cost.go
@@ -0,0 +1,182 @@
+package crcapacity
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// Cost measures processor time, bytes and memory of control: whole nodes and control instances without calls.
+type Cost struct {
+	Nodes    []int
+	Rates    []int
+	Rounds   int
+	Window   time.Duration
+	Controls int
+	Out      io.Writer
+}
+
+const (
+	// costServices and costWatched: each node serves one service and calls others.
+	costServices = 10
+	costWatched  = 3
+)
+
+// usage is what one window cost.
+type usage struct {
+	// cores counts busy cores of the whole process.
+	cores float64
+	// controlBytes and nodeBytes are those a second on connections that control instances and nodes accepted.
+	controlBytes, nodeBytes float64
+}
+
+// Run measures and prints a table and fitted lines for each rate.
+func (m Cost) Run() error {
+	memory := make([]float64, len(m.Nodes))
+	used := map[int][][]usage{}
+	for _, r := range m.Rates {
+		used[r] = make([][]usage, len(m.Nodes))
+	}
+	for i, n := range m.Nodes {
+		before := held()
+		c, err := m.cluster(n)
+		if err != nil {
+			return fmt.Errorf("%d nodes: %w", n, err)
+		}
+		memory[i] = (held() - before) / 1e6
+		for range m.Rounds {
+			for _, rate := range m.Rates {
+				u, err := m.window(c, rate)
+				if err != nil {
+					return err
+				}
+				used[rate][i] = append(used[rate][i], u)
+			}
+		}
+		if err := c.stop(); err != nil {
+			return err
+		}
+	}
+	return m.print(memory, used)
+}
+
+// cluster starts n nodes that serve and watch services, and waits until the keeper groups have settled.
+func (m Cost) cluster(n int) (*cluster, error) {
+	c, err := newCluster(m.Controls, false)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.services(costServices); err != nil {
+		return nil, err
+	}
+	if err := c.grow(n, costServices); err != nil {
+		return nil, err
+	}
+	for i, node := range c.nodes {
+		for k := 1; k <= costWatched; k++ {
+			// The refusal for lack of a server is expected; the node watches the service from now on.
+			url := fmt.Sprintf("http://%s/v1/call/s%d/read", node.Settings.Listen, (i+k)%costServices)
+			resp, err := http.Post(url, "text/plain", strings.NewReader("x"))
+			if err != nil {
+				return nil, err
+			}
+			_ = resp.Body.Close()
+		}
+	}
+	return c, c.settled()
+}
+
+// settled waits until no keeper group has changed for some looks of the control instance in charge.
+func (c *cluster) settled() error {
+	var last int64 = -1
+	since := time.Now()
+	return c.until(func() error {
+		var groups int64
+		for _, ctl := range c.controls {
+			groups += ctl.Counters.Value("keeper_groups_changed")
+		}
+		if groups != last {
+			last, since = groups, time.Now()
+		}
+		if time.Since(since) < 4*time.Second {
+			return fmt.Errorf("keeper groups still change")
+		}
+		return nil
+	})
+}
+
+func held() float64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc + s.StackInuse)
+}
+
+// window measures one window at a rate of changes.
+func (m Cost) window(c *cluster, rate int) (usage, error) {
+	cpu, control, nodes, start := cpuTime(), c.controlBytes.Load(), c.nodeBytes.Load(), time.Now()
+	for i := 0; rate > 0 && time.Since(start) < m.Window; i++ {
+		if _, err := c.command(fmt.Sprintf("set kind s%d/read worth %d", i%costServices, 1+i%1000)); err != nil {
+			return usage{}, err
+		}
+		time.Sleep(time.Until(start.Add(time.Duration(i+1) * time.Second / time.Duration(rate))))
+	}
+	time.Sleep(time.Until(start.Add(m.Window)))
+	s := time.Since(start).Seconds()
+	return usage{
+		cores: (cpuTime() - cpu).Seconds() / s, controlBytes: float64(c.controlBytes.Load()-control) / s, nodeBytes: float64(c.nodeBytes.Load()-nodes) / s,
+	}, nil
+}
+
+// figures of the cost table; a byte on a connection that a node accepted is sent by one node and received by another.
+var figures = []struct {
+	name string
+	of   func(usage) float64
+}{
+	{"processor, % of a core", func(u usage) float64 { return 100 * u.cores }},
+	{"bytes in and out of nodes, KB/s", func(u usage) float64 { return (u.controlBytes + 2*u.nodeBytes) / 1000 }},
+	{"bytes in and out of control, KB/s", func(u usage) float64 { return u.controlBytes / 1000 }},
+}
+
+func (m Cost) print(memory []float64, used map[int][][]usage) error {
+	_, _ = fmt.Fprintf(m.Out, "Control of n nodes in one process with %d control instances; %d windows of %s; each node watches %d of %d services\n",
+		m.Controls, m.Rounds, m.Window, 1+costWatched, costServices)
+	x := make([]float64, len(m.Nodes))
+	for i, n := range m.Nodes {
+		x[i] = float64(n)
+	}
+	for _, rate := range m.Rates {
+		_, _ = fmt.Fprintf(m.Out, "\n%d changes a second: the whole process, median (lowest to highest)\n", rate)
+		rows := [][]string{{"nodes"}}
+		lines := [][]float64{}
+		for _, f := range figures {
+			rows[0] = append(rows[0], f.name)
+			lines = append(lines, nil)
+		}
+		for i := range m.Nodes {
+			row := []string{fmt.Sprint(m.Nodes[i])}
+			for k, f := range figures {
+				var values []float64
+				for _, u := range used[rate][i] {
+					values = append(values, f.of(u))
+				}
+				s := Summarize(values)
+				lines[k] = append(lines[k], s.Median)
+				row = append(row, s.String())
+			}
+			rows = append(rows, row)
+		}
+		if err := writeTable(m.Out, rows); err != nil {
+			return err
+		}
+		for k, f := range figures {
+			_, _ = fmt.Fprintf(m.Out, "%s = %s\n", f.name, Fit(x, lines[k]))
+		}
+	}
+	_, _ = fmt.Fprintf(m.Out, "\nMemory of the whole process after start, heap and stacks, MB: %v at %v nodes\nmemory, MB = %s\n", memory, m.Nodes, Fit(x, memory))
+	return nil
+}
--- a/internal/crcli/crcli.go
+++ b/internal/crcli/crcli.go
@@ -58,6 +58,7 @@
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			nodeCommand(s), controlCommand(s), checkCommand(s), dumpCommand(s), ctlCommand(s), demoCommand(s), benchCommand(s),
+			capacityCommand(s),
 		},
 	}
 }
