crwire: keep streams for later calls

Cause: each call opened and closed a yamux stream: two frames more each way, and two goroutines at the peer. A stream whose call failed or was cancelled is closed as before, since its late answer must not reach another call. The server answers the requests of a stream one after the other.

--- a/internal/crwire/crwire.go
+++ b/internal/crwire/crwire.go
@@ -92,11 +92,12 @@
 	if err != nil {
 		return nil, err
 	}
-	defer st.close()
 	resp := PResp(new(Resp))
 	if err := st.recv(resp); err != nil {
+		st.close()
 		return nil, err
 	}
+	st.keep()
 	return resp, nil
 }
 
--- a/internal/crwire/session.go
+++ b/internal/crwire/session.go
@@ -19,6 +19,7 @@
 	peer Peer
 	mux  *Mux
 	ya   *yamux.Session
+	idle idleStreams
 	// ctx ends with the session, so that handlers stop when the other side is gone.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -91,38 +92,74 @@
 	}
 }
 
-// serve answers one stream; the caller closes the stream to cancel the handler.
+// request is one request of a stream, or why it could not be read.
+type request struct {
+	envelope *Envelope
+	err      error
+}
+
+// serve answers the calls of one stream, one after the other; the caller closes the stream to cancel the handler.
 func (s *Session) serve(st *yamux.Stream) {
 	defer func() { _ = st.Close() }()
-	var req Envelope
-	if err := readFrame(st, &req, MaxMessageBytes); err != nil {
-		_ = writeFrame(st, failure(err), MaxMessageBytes)
-		return
-	}
-	h, ok := s.handler(req.GetMethod())
-	if !ok {
-		_ = writeFrame(st, failure(crcode.New(crcode.UnknownMethod, "%q", req.GetMethod())), MaxMessageBytes)
-		return
-	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
+	requests := make(chan request)
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
 		defer cancel()
-		var b [1]byte
-		_, _ = st.Read(b[:])
+		readRequests(ctx, st, requests)
 	}()
+	for {
+		select {
+		case r := <-requests:
+			if r.err != nil {
+				_ = writeFrame(st, failure(r.err), MaxMessageBytes)
+				return
+			}
+			if !s.answer(ctx, st, r.envelope) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readRequests passes on the requests of a stream until it ends.
+func readRequests(ctx context.Context, st *yamux.Stream, out chan<- request) {
+	for {
+		r := request{envelope: new(Envelope)}
+		r.err = readFrame(st, r.envelope, MaxMessageBytes)
+		if r.err != nil && crcode.Of(r.err) == crcode.ConnectionLost {
+			return
+		}
+		select {
+		case out <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// answer runs one request and reports whether the stream can take another one.
+func (s *Session) answer(ctx context.Context, st *yamux.Stream, req *Envelope) bool {
+	h, ok := s.handler(req.GetMethod())
+	if !ok {
+		_ = writeFrame(st, failure(crcode.New(crcode.UnknownMethod, "%q", req.GetMethod())), MaxMessageBytes)
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	send := func(m proto.Message) error { return sendMessage(st, "", m) }
 	resp, err := h(ctx, s, req.GetPayload(), send)
-	switch {
-	case err != nil:
+	if err == nil && resp != nil {
+		err = send(resp)
+	}
+	if err != nil {
 		_ = writeFrame(st, failure(err), MaxMessageBytes)
-	case resp != nil:
-		if err := send(resp); err != nil {
-			_ = writeFrame(st, failure(err), MaxMessageBytes)
-		}
 	}
+	return err == nil && resp != nil
 }
 
 func (s *Session) handler(method string) (Handler, bool) {
@@ -155,19 +192,20 @@
 	st   *yamux.Stream
 	ctx  context.Context
 	stop func() bool
+	idle *idleStreams
 }
 
 func (s *Session) open(ctx context.Context, method string, req proto.Message) (*stream, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, notSent(err)
 	}
-	st, err := s.ya.OpenStream()
+	st, err := s.idle.take(s.ya)
 	if err != nil {
 		return nil, &crcode.Error{Code: crcode.NoServer, Detail: err.Error()}
 	}
 	// A cancelled context unblocks reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
-	out := &stream{st: st, ctx: ctx, stop: stop}
+	out := &stream{st: st, ctx: ctx, stop: stop, idle: &s.idle}
 	if err := sendMessage(st, method, req); err != nil {
 		out.close()
 		return nil, err
@@ -203,6 +241,13 @@
 	return unmarshal(env.GetPayload(), m)
 }
 
+// keep leaves the stream to the next call, after the whole response was received; one whose context has ended is closed.
+func (c *stream) keep() {
+	if !c.stop() || !c.idle.put(c.st) {
+		_ = c.st.Close()
+	}
+}
+
 func (c *stream) close() {
 	c.stop()
 	_ = c.st.Close()
