--- a/internal/crcapacity/call.go
+++ b/internal/crcapacity/call.go
@@ -28,6 +28,8 @@
 	Round  time.Duration
 	// CostCalls is the number of calls of each path for processor time and allocations.
 	CostCalls int
+	// Processes makes each node a process of its own.
+	Processes bool
 	Out       io.Writer
 }
 
@@ -47,11 +49,11 @@
 
 // Run measures and prints the tables.
 func (m Call) Run(ctx context.Context) (err error) {
-	c, err := newCluster(1, false)
-	if err != nil {
+	c := &cluster{processes: m.Processes}
+	defer func() { err = errors.Join(err, c.stop()) }()
+	if err := c.start(1, false); err != nil {
 		return err
 	}
-	defer func() { err = errors.Join(err, c.stop()) }()
 	if err := c.services(callNodes); err != nil {
 		return err
 	}
@@ -68,7 +70,10 @@
 	defer b.stop()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	paths := m.paths(c, b)
+	paths, err := m.paths(ctx, c, b)
+	if err != nil {
+		return err
+	}
 	for _, p := range paths {
 		if err := c.until(func() error { return p.repeat(ctx, client) }); err != nil {
 			return fmt.Errorf("%s: %w", p.name, err)
@@ -77,25 +82,48 @@
 	if err := m.latency(ctx, b, client, paths); err != nil {
 		return err
 	}
-	return m.cost(ctx, b, client, paths)
+	if err := m.cost(ctx, c, b, client, paths); err != nil {
+		return err
+	}
+	return m.memory(c)
 }
 
-func (m Call) paths(c *cluster, b *backend) []path {
-	same, other := c.nodes[0], c.nodes[1]
+// memory prints the resident memory of the node processes after the calls.
+func (m Call) memory(c *cluster) error {
+	if !m.Processes {
+		return nil
+	}
+	var mb []float64
+	for _, pid := range c.pids[len(c.controls):] {
+		v, err := processMemory(pid)
+		if err != nil {
+			return err
+		}
+		mb = append(mb, v)
+	}
+	_, err := fmt.Fprintf(m.Out, "\nResident memory of a node process after the calls, MB: %s\n", Summarize(mb))
+	return err
+}
+
+func (m Call) paths(ctx context.Context, c *cluster, b *backend) ([]path, error) {
+	var failed error
 	via := func(name, kind string, n *crnode.Node) path {
 		p := path{name: name, url: "http://" + n.Settings.Listen + "/v1/call/s0/" + kind}
 		if kind == "once" {
-			p.prefix = n.Prefix()
+			var err error
+			p.prefix, err = prefixOf(ctx, n.Settings.Listen)
+			failed = errors.Join(failed, err)
 		}
 		return p
 	}
+	same, other := c.nodes[0], c.nodes[1]
 	return []path{
 		{name: "direct", url: "http://" + b.address + "/read"},
 		via("repeatable, entrance at the gate", "read", same),
 		via("repeatable, other entrance", "read", other),
 		via("non-repeatable, entrance at the gate", "once", same),
 		via("non-repeatable, other entrance", "once", other),
-	}
+	}, failed
 }
 
 // requestBytes is the length of a request's body.
@@ -233,22 +261,33 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// cpu returns the processor time of this process and of those of the cluster.
+func (c *cluster) cpu() time.Duration {
+	sum := cpuTime()
+	for _, pid := range c.pids {
+		if d, err := processCPU(pid); err == nil {
+			sum += d
+		}
+	}
+	return sum
+}
+
 // costWorkers keeps calls in flight while processor time is measured.
 const costWorkers = 4
 
 // cost measures processor time and allocations of each path; caller and backend server are in the direct path too.
-func (m Call) cost(ctx context.Context, b *backend, client *http.Client, paths []path) error {
+func (m Call) cost(ctx context.Context, c *cluster, b *backend, client *http.Client, paths []path) error {
 	b.work.Store(0)
 	cpu, allocs, size := make([][]float64, len(paths)), make([][]float64, len(paths)), make([][]float64, len(paths))
 	for range m.Rounds {
 		for i, p := range paths {
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			cpu0 := cpuTime()
+			cpu0 := c.cpu()
 			if err := m.burst(ctx, client, p); err != nil {
 				return err
 			}
-			used := cpuTime() - cpu0
+			used := c.cpu() - cpu0
 			runtime.ReadMemStats(&after)
 			n := float64(m.CostCalls)
 			cpu[i] = append(cpu[i], float64(used.Microseconds())/n)
@@ -257,7 +296,7 @@
 		}
 	}
 	_, _ = fmt.Fprintf(m.Out, "\nCost of a call, caller and backend server included; %d rounds of %d calls, %d at a time; median (lowest to highest)\n", m.Rounds, m.CostCalls, costWorkers)
-	rows := [][]string{{"path", "processor time, us", "above direct, us", "allocations", "above direct", "allocated, KB"}}
+	rows := [][]string{{"path", "processor time, us", "above direct, us", "allocations in this process", "above direct", "allocated, KB"}}
 	for i, p := range paths {
 		c, a := Summarize(cpu[i]), Summarize(allocs[i])
 		rows = append(rows, []string{
--- a/internal/crcapacity/cluster.go
+++ b/internal/crcapacity/cluster.go
@@ -39,6 +39,10 @@
 	// controlBytes and nodeBytes count the connections that control instances and nodes accepted.
 	controlBytes, nodeBytes atomic.Int64
 
+	// processes makes each control instance and node a process of its own, with its own memory and garbage collection.
+	processes bool
+	pids      []int
+
 	dir    string
 	cancel context.CancelFunc
 	ctx    context.Context
@@ -47,25 +51,36 @@
 
 // newCluster starts control instances; with forward set, traffic to them goes through a network with faults.
 func newCluster(controls int, forward bool) (*cluster, error) {
+	c := &cluster{}
+	if err := c.start(controls, forward); err != nil {
+		return nil, errors.Join(err, c.stop())
+	}
+	return c, nil
+}
+
+func (c *cluster) start(controls int, forward bool) error {
 	dir, err := os.MkdirTemp("", "citronramp-capacity-")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	c := &cluster{dir: dir, network: newNetwork()}
+	c.dir, c.network = dir, newNetwork()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	var members []crsettings.Member
 	for i := range controls {
 		ln, err := c.listeners(3, &c.controlBytes)
 		if err != nil {
-			return nil, errors.Join(err, c.stop())
+			return err
 		}
 		name := fmt.Sprintf("control-%d", i+1)
 		inner := ln[0].Addr().String()
 		if forward {
 			if inner, err = c.network.listen(name, inner); err != nil {
-				return nil, errors.Join(err, c.stop())
+				return err
 			}
 		}
+		if c.processes {
+			free(ln)
+		}
 		members = append(members, crsettings.Member{Name: name, Inner: inner})
 		c.controls = append(c.controls, &crcontrol.Control{
 			Settings: crsettings.Control{
@@ -77,9 +92,13 @@
 	}
 	for _, ctl := range c.controls {
 		ctl.Settings.Members = members
-		c.run("control", ctl.Run)
+		if !c.processes {
+			c.run("control", ctl.Run)
+		} else if err := c.process(ctl.Settings.Name, controlSettings(ctl.Settings), "control", "--new-cluster"); err != nil {
+			return err
+		}
 	}
-	return c, c.until(func() error { _, err := c.command("show version"); return err })
+	return c.until(func() error { _, err := c.command("show version"); return err })
 }
 
 // run starts a process of the cluster; the label tells its share in a CPU profile.
@@ -132,6 +151,10 @@
 		Callers: more[0], Inner: ln[0], Admin: more[1], Logger: log.NewNopLogger(),
 	}
 	c.nodes = append(c.nodes, n)
+	if c.processes {
+		free(append(ln, more...))
+		return n, c.process(n.Settings.Name, nodeSettings(n.Settings), "node")
+	}
 	c.run("node", n.Run)
 	return n, nil
 }
@@ -225,6 +248,9 @@
 
 // stop ends every process and removes the data folders.
 func (c *cluster) stop() error {
+	if c.cancel == nil {
+		return nil
+	}
 	c.cancel()
 	c.wg.Wait()
 	c.network.close()
--- a/internal/crcli/capacity.go
+++ b/internal/crcli/capacity.go
@@ -58,12 +58,13 @@
 			&cli.IntFlag{Name: "rounds", Value: 5, Usage: "rounds"},
 			&cli.DurationFlag{Name: "round", Value: 6 * time.Second, Usage: "length of a round"},
 			&cli.IntFlag{Name: "cost-calls", Value: 8000, Usage: "calls of each path and round for processor time"},
+			&cli.BoolFlag{Name: "processes", Usage: "run each control instance and node as a process of its own"},
 			profileFlag(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			m := crcapacity.Call{
 				Slots: c.Int("slots"), Work: c.Duration("work"), Rounds: c.Int("rounds"), Round: c.Duration("round"),
-				CostCalls: c.Int("cost-calls"), Out: s.out,
+				CostCalls: c.Int("cost-calls"), Processes: c.Bool("processes"), Out: s.out,
 			}
 			return profiled(c, func() error { return m.Run(ctx) })
 		},
