--- /dev/null
+++ b/pkg/crbudget/example_test.go
@@ -0,0 +1,37 @@
+package crbudget_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crbudget"
+)
+
+// A caller retries while the service's ratio and the request's counter both allow it; a resend of the id costs one, too.
+func Example_retries() {
+	now := time.Unix(1_700_000_000, 0)
+	home := &crbudget.HomeCounter{}
+	ratio := &crbudget.Ratio{PerSecond: 1000} // The default is 1 a second plus a tenth of the successes.
+	rnd := rand.New(rand.NewPCG(1, 2))
+	const id, retries = "n1-5f3a.1700000000000.000000000000002a", 4
+	send := func(resend string) {
+		if _, ok := home.Arrive(now, id, now, retries, 0); !ok {
+			fmt.Println(resend, "refused, not run: no retry is left to pay for it")
+			return
+		}
+		attempts := 1
+		for attempts < 2 && ratio.Allow(now) && home.Take(now, id) { // This server answers the second attempt.
+			now = now.Add(crbudget.Backoff(attempts, rnd)) // Wait this long, then send again.
+			attempts++
+		}
+		fmt.Println(resend, "made", attempts, "attempts")
+	}
+	send("first send")
+	send("second send")
+	send("third send")
+	// Output:
+	// first send made 2 attempts
+	// second send made 1 attempts
+	// third send refused, not run: no retry is left to pay for it
+}
