crcapacity: count the bytes of the busiest relay

Cause: the mean over all nodes hides a relay, which serves up to 16 children. Change: each node counts the connections that it accepts; "capacity cost" prints the largest figure and takes the number of services, since few of 670 services concern a node. Measured: go test -race ./internal/crcapacity passes.

--- a/internal/crcapacity/cluster.go
+++ b/internal/crcapacity/cluster.go
@@ -36,8 +36,9 @@
 	controls []*crcontrol.Control
 	nodes    []*crnode.Node
 	network  *network
-	// controlBytes and nodeBytes count the connections that control instances and nodes accepted.
-	controlBytes, nodeBytes atomic.Int64
+	// controlBytes counts the connections that control instances accepted, nodeBytes those of each node.
+	controlBytes atomic.Int64
+	nodeBytes    []*atomic.Int64
 
 	// processes makes each control instance and node a process of its own, with its own memory and garbage collection.
 	processes bool
@@ -128,7 +129,9 @@
 
 // addNode starts a node for a service.
 func (c *cluster) addNode(service string) (*crnode.Node, error) {
-	ln, err := c.listeners(1, &c.nodeBytes)
+	bytes := &atomic.Int64{}
+	c.nodeBytes = append(c.nodeBytes, bytes)
+	ln, err := c.listeners(1, bytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/crcapacity/cost.go
+++ b/internal/crcapacity/cost.go
@@ -16,14 +16,13 @@
 	Rounds   int
 	Window   time.Duration
 	Controls int
+	// Services are spread over the nodes; each node serves one and calls three others.
+	Services int
 	Out      io.Writer
 }
 
-const (
-	// costServices and costWatched: each node serves one service and calls others.
-	costServices = 10
-	costWatched  = 3
-)
+// costWatched is the number of services that a node calls.
+const costWatched = 3
 
 // usage is what one window cost.
 type usage struct {
@@ -31,6 +30,8 @@
 	cores float64
 	// controlBytes and nodeBytes are those a second on connections that control instances and nodes accepted.
 	controlBytes, nodeBytes float64
+	// relayBytes are those of the node that accepted most.
+	relayBytes float64
 }
 
 // Run measures and prints a table and fitted lines for each rate.
@@ -69,16 +70,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.services(costServices); err != nil {
+	if err := c.services(m.Services); err != nil {
 		return nil, err
 	}
-	if err := c.grow(n, costServices); err != nil {
+	if err := c.grow(n, m.Services); err != nil {
 		return nil, err
 	}
 	for i, node := range c.nodes {
 		for k := 1; k <= costWatched; k++ {
 			// The refusal for lack of a server is expected; the node watches the service from now on.
-			url := fmt.Sprintf("http://%s/v1/call/s%d/read", node.Settings.Listen, (i+k)%costServices)
+			url := fmt.Sprintf("http://%s/v1/call/s%d/read", node.Settings.Listen, (i+k)%m.Services)
 			resp, err := http.Post(url, "text/plain", strings.NewReader("x"))
 			if err != nil {
 				return nil, err
@@ -118,18 +119,31 @@
 
 // window measures one window at a rate of changes.
 func (m Cost) window(c *cluster, rate int) (usage, error) {
-	cpu, control, nodes, start := cpuTime(), c.controlBytes.Load(), c.nodeBytes.Load(), time.Now()
+	cpu, control, nodes, start := cpuTime(), c.controlBytes.Load(), c.accepted(), time.Now()
 	for i := 0; rate > 0 && time.Since(start) < m.Window; i++ {
-		if _, err := c.command(fmt.Sprintf("set kind s%d/read worth %d", i%costServices, 1+i%1000)); err != nil {
+		if _, err := c.command(fmt.Sprintf("set kind s%d/read worth %d", i%m.Services, 1+i%1000)); err != nil {
 			return usage{}, err
 		}
 		time.Sleep(time.Until(start.Add(time.Duration(i+1) * time.Second / time.Duration(rate))))
 	}
 	time.Sleep(time.Until(start.Add(m.Window)))
 	s := time.Since(start).Seconds()
-	return usage{
-		cores: (cpuTime() - cpu).Seconds() / s, controlBytes: float64(c.controlBytes.Load()-control) / s, nodeBytes: float64(c.nodeBytes.Load()-nodes) / s,
-	}, nil
+	u := usage{cores: (cpuTime() - cpu).Seconds() / s, controlBytes: float64(c.controlBytes.Load()-control) / s}
+	for i, after := range c.accepted() {
+		rate := float64(after-nodes[i]) / s
+		u.nodeBytes += rate
+		u.relayBytes = max(u.relayBytes, rate)
+	}
+	return u, nil
+}
+
+// accepted returns the bytes on the connections that each node accepted.
+func (c *cluster) accepted() []int64 {
+	out := make([]int64, len(c.nodeBytes))
+	for i, b := range c.nodeBytes {
+		out[i] = b.Load()
+	}
+	return out
 }
 
 // figures of the cost table; a byte on a connection that a node accepted is sent by one node and received by another.
@@ -140,11 +154,12 @@
 	{"processor, % of a core", func(u usage) float64 { return 100 * u.cores }},
 	{"bytes in and out of nodes, KB/s", func(u usage) float64 { return (u.controlBytes + 2*u.nodeBytes) / 1000 }},
 	{"bytes in and out of control, KB/s", func(u usage) float64 { return u.controlBytes / 1000 }},
+	{"busiest relay below it, KB/s", func(u usage) float64 { return u.relayBytes / 1000 }},
 }
 
 func (m Cost) print(memory []float64, used map[int][][]usage) error {
 	_, _ = fmt.Fprintf(m.Out, "Control of n nodes in one process with %d control instances; %d windows of %s; each node watches %d of %d services\n",
-		m.Controls, m.Rounds, m.Window, 1+costWatched, costServices)
+		m.Controls, m.Rounds, m.Window, 1+costWatched, m.Services)
 	x := make([]float64, len(m.Nodes))
 	for i, n := range m.Nodes {
 		x[i] = float64(n)
--- a/internal/crcli/capacity.go
+++ b/internal/crcli/capacity.go
@@ -95,6 +95,7 @@
 			&cli.IntSliceFlag{Name: "rate", Value: []int{0, 50}, Usage: "changes a second"},
 			&cli.IntFlag{Name: "rounds", Value: 3, Usage: "windows of each size and rate"},
 			&cli.DurationFlag{Name: "window", Value: 10 * time.Second, Usage: "length of a window"},
+			&cli.IntFlag{Name: "services", Value: 10, Usage: "services; each node watches four of them"},
 			&cli.IntFlag{Name: "controls", Value: 3, Usage: "control instances: 1, 3 or 5"},
 			profileFlag(),
 		},
@@ -104,7 +105,7 @@
 			}
 			m := crcapacity.Cost{
 				Nodes: c.IntSlice("nodes"), Rates: c.IntSlice("rate"), Rounds: c.Int("rounds"), Window: c.Duration("window"),
-				Controls: c.Int("controls"), Out: s.out,
+				Controls: c.Int("controls"), Services: c.Int("services"), Out: s.out,
 			}
 			return profiled(c, m.Run)
 		},
