--- a/internal/crcli/crcli.go
+++ b/internal/crcli/crcli.go
@@ -64,6 +64,7 @@
 		},
 		Commands: []*cli.Command{
 			nodeCommand(s), controlCommand(s), checkCommand(s), dumpCommand(s), ctlCommand(s), demoCommand(s), benchCommand(s),
+			capacityCommand(s),
 		},
 	}
 }
