crnode: take an update that replaces one service and changes another

Ruled out: the tree, whose entries and digest were right. Change: entries that the update offers are taken out of the held ones first. TestMergeReplaced. Conclusion: this update is taken. A view that refuses an update for another reason still stays behind without a resync.

--- /dev/null
+++ b/internal/crnode/merge_test.go
@@ -0,0 +1,31 @@
+package crnode
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crconfig"
+	"github.com/citronramp/citronramp/internal/crspread"
+	"github.com/citronramp/citronramp/internal/crwire"
+)
+
+// TestMergeReplaced guards against a view that refuses an update which replaces one service and changes another: the node
+// then kept the older configuration although the tree told that the later one is in force.
+func TestMergeReplaced(t *testing.T) {
+	c := qt.New(t)
+	entry := func(key, service string, index uint64) *crwire.ConfigEntry {
+		return &crwire.ConfigEntry{Key: key, Service: service, Version: &crwire.ConfigVersion{Epoch: 1, Index: index}, Deleted: index > 8}
+	}
+	held := []*crwire.ConfigEntry{entry("a", "ledger", 1), entry("b", "ledger", 2), entry("c", "late", 3), entry("d", "", 3)}
+	merged := mergeReplaced(held, crspread.Update{
+		Version: crconfig.Version{Epoch: 1, Index: 9}, Replaced: []string{"late"},
+		Entries: []*crwire.ConfigEntry{entry("a", "ledger", 5), entry("e", "late", 6), entry("d", "", 9)},
+	})
+	var keys []string
+	for _, e := range merged {
+		keys = append(keys, e.GetKey())
+	}
+	c.Assert(keys, qt.DeepEquals, []string{"b", "a", "e", "d"})
+	c.Assert(merged[1].GetVersion().GetIndex(), qt.Equals, uint64(5))
+}
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -146,10 +146,7 @@
 	case u.Full:
 		err = n.view.Reset(u.Version, u.Entries)
 	case len(u.Replaced) > 0:
-		kept := slices.DeleteFunc(slices.Clone(n.view.Entries()), func(e *crwire.ConfigEntry) bool {
-			return slices.Contains(u.Replaced, e.GetService())
-		})
-		err = n.view.Reset(u.Version, append(kept, u.Entries...))
+		err = n.view.Reset(u.Version, mergeReplaced(n.view.Entries(), u))
 	default:
 		err = n.view.ApplyEntries(u.Version, u.Entries)
 	}
@@ -163,6 +160,19 @@
 	n.cover(u.Services)
 }
 
+// mergeReplaced returns the whole view after an update that replaces the entries of some services. Such an update may also
+// change entries of other services, which then must not stand twice.
+func mergeReplaced(held []*crwire.ConfigEntry, u crspread.Update) []*crwire.ConfigEntry {
+	offered := make(map[string]bool, len(u.Entries))
+	for _, e := range u.Entries {
+		offered[e.GetKey()] = true
+	}
+	kept := slices.DeleteFunc(slices.Clone(held), func(e *crwire.ConfigEntry) bool {
+		return offered[e.GetKey()] || slices.Contains(u.Replaced, e.GetService())
+	})
+	return append(kept, u.Entries...)
+}
+
 // entriesChanged tells the keeper its groups and the quarantine which convictions were lifted.
 func (p *parts) entriesChanged(entries []*crwire.ConfigEntry) {
 	n := p.node
