crcli: fail a session when a process has a data race

Cause: under -race a process of a session showed its races only in its exit code. Change: a session that waits for a process fails with its log when it holds a data race. Measured: go test -race ./internal/crcli. Conclusion: the report names the race.

--- a/internal/crcli/process_test.go
+++ b/internal/crcli/process_test.go
@@ -178,6 +178,9 @@
 		case <-time.After(waitLimit):
 			return fmt.Errorf("%s did not end", name)
 		}
+		if log, err := s.log([]string{name}); err != nil || strings.Contains(log, "DATA RACE") {
+			return fmt.Errorf("%s has a data race (%v):\n%s", name, err, log)
+		}
 		s.write(fmt.Sprintf("> exited %s\ncode %d", args[i], p.code))
 	}
 	return nil
