--- a/internal/crcontrol/operator.go
+++ b/internal/crcontrol/operator.go
@@ -164,13 +164,12 @@
 	if err != nil {
 		return failedCommand(err, req.GetJson())
 	}
-	code := crcode.Code(answer.GetCode())
+	code := crcode.OK
 	if err := crconfig.AnswerError(answer); err != nil {
 		c.Counters.Add("changes_refused", 1)
 		code = crcode.Of(err)
 	} else {
 		c.Counters.Add("changes_accepted", 1)
-		code = crcode.OK
 	}
 	return printed(crprint.ResultOf(answer), code, req.GetJson())
 }
