crnode, crcontrol: make three tests fail without the code they cover

Cause: the tests of the planned stop, of the secret and of equal expected versions passed with the drain, the check of the client's proof or the check of the expected version disabled: the HTTP server's own shutdown, the dialer's check of the other side and the code for an object that exists covered for them.

--- a/internal/crcontrol/partition_test.go
+++ b/internal/crcontrol/partition_test.go
@@ -168,10 +168,18 @@
 	k := crtest.Start(t, three())
 	for round := range 20 {
 		object := fmt.Sprintf("raced-%d", round)
+		text, err := k.Command(k.Controls[round%3], "create service "+object)
+		k.C.Assert(err, qt.IsNil)
+		_, v, found := strings.Cut(text, "has version ")
+		v, _, _ = strings.Cut(v, "\n")
+		k.C.Assert(found, qt.IsTrue, qt.Commentf("%s", text))
 		results := make(chan error, 2)
-		lines := []string{}
+		var lines []string
+		for i := range 2 {
+			lines = append(lines, fmt.Sprintf("set service %s owner team-%d if %s id %d-%d",
+				object, i, strings.TrimSuffix(v, "."), time.Now().UnixMilli(), round*2+i))
+		}
 		for i := range 2 {
-			lines = append(lines, fmt.Sprintf("create service %s owner team-%d if 0.0 id %d-%d", object, i, time.Now().UnixMilli(), round*2+i))
 			go func() { _, err := k.Command(k.Controls[i], lines[i]); results <- err }()
 		}
 		first, second := <-results, <-results
--- a/internal/crnode/input_test.go
+++ b/internal/crnode/input_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/citronramp/citronramp/internal/crnode"
 	"github.com/citronramp/citronramp/internal/crtest"
@@ -106,9 +107,38 @@
 	defer e.Close()
 	_, err := e.Session(context.Background(), n.Settings.Inner)
 	k.C.Check(crcode.Of(err), qt.Equals, crcode.BadSecret)
+	k.C.Check(forgedProof(k, n), qt.Equals, crcode.BadSecret)
 	k.C.Check(k.Send(n, "ledger/read", crtest.Request{}).Code, qt.Equals, crcode.OK)
 }
 
+// forgedProof dials without looking at the node's own proof, sends a wrong one, and returns the verdict.
+func forgedProof(k *crtest.Cluster, n *crtest.Node) crcode.Code {
+	conn, err := net.Dial("tcp", n.Settings.Inner)
+	k.C.Assert(err, qt.IsNil)
+	defer conn.Close()
+	write := func(m proto.Message) {
+		b, err := proto.Marshal(m)
+		k.C.Assert(err, qt.IsNil)
+		_, err = conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
+		k.C.Assert(err, qt.IsNil)
+	}
+	read := func(m proto.Message) {
+		var head [4]byte
+		_, err := io.ReadFull(conn, head[:])
+		k.C.Assert(err, qt.IsNil)
+		b := make([]byte, binary.BigEndian.Uint32(head[:]))
+		_, err = io.ReadFull(conn, b)
+		k.C.Assert(err, qt.IsNil)
+		k.C.Assert(proto.Unmarshal(b, m), qt.IsNil)
+	}
+	write(&crwire.Hello{Version: crwire.Version, Name: "stranger", Incarnation: "1", Role: crwire.RoleNode, Nonce: make([]byte, 16)})
+	read(&crwire.Hello{})
+	write(&crwire.Verdict{Proof: make([]byte, 32)})
+	var v crwire.Verdict
+	read(&v)
+	return crcode.Code(v.GetCode())
+}
+
 // TestBadInnerCalls guards I4 and I5 on the inner port: calls of a process that knows the secret but is out of date or at
 // fault get a numbered error, and nothing is run.
 func TestBadInnerCalls(t *testing.T) {
--- a/internal/crnode/shed_test.go
+++ b/internal/crnode/shed_test.go
@@ -216,38 +216,14 @@
 			{Name: "ledger", Servers: 1, Slots: 2, Kinds: map[string]string{"low": repeat, "high": minimum}},
 		},
 	})
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	var refusedEarly, low, lowOK atomic.Int64
-	for range 40 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				id := k.Nodes[0].NewID()
-				r := k.Send(k.Nodes[0], "front/low", crtest.Request{ID: id})
-				low.Add(1)
-				if r.Code == crcode.OK {
-					lowOK.Add(1)
-				}
-				if r.Code == crcode.Overloaded && k.Ledger.Of("", id) == 0 {
-					refusedEarly.Add(1)
-				}
-			}
-		}()
-	}
+	f := startFlood(k)
 	k.Until(func() error {
-		if n := refusedEarly.Load(); n < 200 {
+		if n := f.early.Load(); n < 200 {
 			return fmt.Errorf("%d refused at the entrance", n)
 		}
 		return nil
 	})
-	before := lowOK.Load()
+	before := f.whole.Load()
 	whole := 0
 	for range 20 {
 		if r := k.Send(k.Nodes[0], "front/high", crtest.Request{}); r.Code == crcode.OK {
@@ -255,12 +231,41 @@
 		}
 	}
 	k.Until(func() error {
-		if lowOK.Load() == before {
+		if f.whole.Load() == before {
 			return fmt.Errorf("no ordinary request is answered")
 		}
 		return nil
 	})
-	close(stop)
-	wg.Wait()
+	f.cancel()
+	f.wg.Wait()
 	k.C.Check(whole, qt.Equals, 20, qt.Commentf("protected requests answered of 20"))
 }
+
+// flood is a load of ordinary requests; early counts those that were refused without any run.
+type flood struct {
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
+	early, whole atomic.Int64
+}
+
+func startFlood(k *crtest.Cluster) *flood {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &flood{cancel: cancel}
+	for range 40 {
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			for ctx.Err() == nil {
+				id := k.Nodes[0].NewID()
+				r := k.Send(k.Nodes[0], "front/low", crtest.Request{ID: id})
+				switch {
+				case r.Code == crcode.OK:
+					f.whole.Add(1)
+				case r.Code == crcode.Overloaded && k.Ledger.Of("", id) == 0:
+					f.early.Add(1)
+				}
+			}
+		}()
+	}
+	return f
+}
--- a/internal/crnode/stop_test.go
+++ b/internal/crnode/stop_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/citronramp/citronramp/internal/crsettings"
 	"github.com/citronramp/citronramp/internal/crtest"
 	"github.com/citronramp/citronramp/pkg/crcode"
 )
@@ -116,14 +117,28 @@
 	}
 }
 
-// TestPlannedStopOfNode guards I7: a node stops while it runs a request, passes one on for a caller and has a deeper
-// call under way; all three are answered whole.
+// stopHeld is longer than a stopping node without requests takes.
+const stopHeld = 4 * time.Second
+
+// TestPlannedStopOfNode guards I7: a node stops while it runs requests for callers of its own or of another entrance, which
+// then make deeper calls. It waits for them, and all are answered whole.
 func TestPlannedStopOfNode(t *testing.T) {
 	t.Parallel()
+	for i, name := range []string{"as entrance", "as gate"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			plannedStop(t, i)
+		})
+	}
+}
+
+// plannedStop stops the first node while callers of the node with the given index wait for it.
+func plannedStop(t *testing.T, entrance int) {
 	var started sync.WaitGroup
 	started.Add(6)
 	release := make(chan struct{})
 	k := crtest.Start(t, crtest.Options{
+		Node: func(s *crsettings.Node) { s.StopTimeout = crtest.Deadline },
 		Handle: func(r *crtest.Run) {
 			if r.Kind == "front/read" {
 				started.Done()
@@ -136,17 +151,16 @@
 			r.Answer()
 		},
 		Services: []crtest.Service{
-			{Name: "front", Servers: 1, Slots: 8, Kinds: map[string]string{"read": "class ordinary worth 1 repeat yes deadline 10s retries 3"}},
+			{Name: "front", Servers: 1, Slots: 8, Kinds: map[string]string{"read": "class ordinary worth 1 repeat yes deadline 15s retries 3"}},
 			{Name: "ledger", Servers: 3, Slots: 8, Kinds: map[string]string{"record": once}},
 		},
 	})
 	var wg sync.WaitGroup
-	for i := range 6 {
+	for range 6 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			// Half of the callers use the stopping node itself as their entrance.
-			n := k.Nodes[i%2]
+			n := k.Nodes[entrance]
 			id := n.NewID()
 			r := k.Send(n, "front/read", crtest.Request{ID: id})
 			k.C.Check(r.Body, qt.Equals, crtest.Want(id, nil), qt.Commentf("%+v", r))
@@ -162,10 +176,16 @@
 		return nil
 	})
 	r := k.Send(k.Nodes[0], "front/read", crtest.Request{})
-	k.C.Check(r.Err != nil || r.Code == crcode.Stopping, qt.IsTrue, qt.Commentf("%+v", r))
-	close(release)
+	k.C.Check(r.Code, qt.Equals, crcode.Stopping, qt.Commentf("%+v", r))
+	select {
+	case err := <-stopped:
+		t.Errorf("the node has stopped with requests in flight: %v", err)
+		close(release)
+	case <-time.After(stopHeld):
+		close(release)
+		k.C.Check(<-stopped, qt.IsNil)
+	}
 	wg.Wait()
-	k.C.Check(<-stopped, qt.IsNil)
 }
 
 // TestRollingRestart guards I7: all backend servers and then all nodes of a service restart one after another under
