crnode: test that a queued request is not sent to a server that left

Cause: the rolling restart passed with the look at the lease in place disabled, so nothing covered it for certain. Change: a test that holds three requests in the queue while the server leaves; longer waits for loaded machines, which cannot turn a failure into a pass. Conclusion: none.

--- a/internal/crnode/stop_test.go
+++ b/internal/crnode/stop_test.go
@@ -234,3 +234,21 @@
 		})
 	}
 }
+
+// TestQueuedNotSentAfterLeaving guards I6 and I7: requests that wait at the gate when their backend server leaves are
+// refused as not run; the server, which may be gone by then, gets none of them.
+func TestQueuedNotSentAfterLeaving(t *testing.T) {
+	t.Parallel()
+	g := startGated(t, 1, 20, 200, 10*time.Second)
+	limit := g.Nodes[0].Dump().Gate.Limit
+	g.send(context.Background(), "high", limit)
+	g.gate("all places are taken", func(d crtest.Dump) bool { return d.Gate.Running == limit })
+	g.send(context.Background(), "low", 3)
+	g.gate("three wait", func(d crtest.Dump) bool { return d.Gate.Queued == 3 })
+	g.Nodes[0].Server.Leave()
+	close(g.release)
+	g.wg.Wait()
+	g.C.Check(g.count("high", crcode.OK), qt.Equals, limit)
+	g.C.Check(g.count("low", crcode.Leaving), qt.Equals, 3, qt.Commentf("%+v", g.replies["low"]))
+	g.C.Check(g.Ledger.Of("ledger/low", g.Nodes[0].Name), qt.Equals, 0)
+}
--- a/internal/crtest/crtest.go
+++ b/internal/crtest/crtest.go
@@ -25,7 +25,7 @@
 const Secret = "test-secret-on-loopback"
 
 // Deadline bounds every wait for a condition; a condition that is not met by then is a failure.
-const Deadline = 20 * time.Second
+const Deadline = 30 * time.Second
 
 // Service is one service with its kinds, which are the options of "create kind".
 type Service struct {
