crnode: let deeper calls pass the levels of the services below

Cause: 329 plans and 274 uploads in 20 s were refused by a level after their work above was done. Change: levels choose at the entrance only; a deeper call is refused for its deadline or for want of a server.

--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/crc32"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -40,6 +41,15 @@
 	body        []byte
 }
 
+// needs returns the priority that levels are compared with. Levels choose at the entrance; a deeper call goes on as long
+// as there is time, since refusing it wastes the work that was done above.
+func (c outcall) needs() cradmission.Priority {
+	if c.depth > 0 {
+		return math.MaxUint64
+	}
+	return c.priority
+}
+
 // call sends c until there is an answer that stands, asking the holder of the root request before each retry.
 func (n *Node) call(ctx context.Context, c outcall) answer {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
@@ -154,7 +164,7 @@
 	if a, refused := n.refusedBelow(now, c); refused {
 		return a, ""
 	}
-	srv, err := svc.router.Pick(now, crrouter.Request{Priority: c.priority, Tried: tried, NoProbe: !c.kind.Repeatable()})
+	srv, err := svc.router.Pick(now, crrouter.Request{Priority: c.needs(), Tried: tried, NoProbe: !c.kind.Repeatable()})
 	if err != nil {
 		return n.refusalFor(err, c.priority), ""
 	}
@@ -198,7 +208,7 @@
 
 // refusedBelow refuses a request that its service, or a service that it would reach, does not admit at present.
 func (n *Node) refusedBelow(now time.Time, c outcall) (answer, bool) {
-	if n.Policy != Adaptive {
+	if n.Policy != Adaptive || c.depth > 0 {
 		return answer{}, false
 	}
 	if svc, level, refused := n.reach.Refuses(now, kindName(c.kind), c.priority, n.levels); refused {
