--- a/internal/crprint/answers.go
+++ b/internal/crprint/answers.go
@@ -160,6 +160,9 @@
 
 // behind names the nodes that lag and how many more there are.
 func behind(names Rows[string], count int) string {
+	if len(names) == 0 {
+		return fmt.Sprintf("Behind: %d nodes.", count)
+	}
 	text := "Behind: " + strings.Join(names, ", ")
 	if more := count - len(names); more > 0 {
 		text += fmt.Sprintf(" and %d more", more)
--- a/internal/crprint/crprint_test.go
+++ b/internal/crprint/crprint_test.go
@@ -106,3 +106,13 @@
 	_, ok := crprint.Encode(crlang.RemoveMember{Name: "c1"}, "amina", start)
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// TestUnknownIsNotTold guards against an answer that names nobody, or tells what only the leader knows.
+func TestUnknownIsNotTold(t *testing.T) {
+	c := qt.New(t)
+	v := crconfig.Version{Epoch: 1, Index: 5}
+	c.Assert(crprint.Text(crprint.Spread{Version: v, Nodes: 2, InForce: 1}), qt.Contains, "Behind: 1 nodes.")
+	c.Assert(crprint.Text(crprint.Leader{Name: "c1", Address: "127.0.0.1:1", Term: 3, Voters: 3}), qt.Equals,
+		"c1 at 127.0.0.1:1 is in charge in term 3. There are 3 voters.\n")
+	c.Assert(crprint.Text(crprint.Leader{Voters: 3}), qt.Contains, "This instance knows of no control member in charge.")
+}
