--- a/internal/crdemo/tally.go
+++ b/internal/crdemo/tally.go
@@ -38,6 +38,8 @@
 	start time.Time
 	end   time.Time
 	sends int
+	// codes are the results of the sends in order.
+	codes []crcode.Code
 	// outcome is that of the request as a whole: Run when one answer was whole, NotRun when every send was refused.
 	outcome crcode.Outcome
 	// wrong is set when an answer was partial or another request's.
@@ -216,13 +218,14 @@
 	return float64(lost) / float64(all)
 }
 
-// Latency returns the given quantile of the time from first send to whole answer in a phase, 0 without answers.
-func (t *Tally) Latency(p Phase, quantile float64) time.Duration {
+// Latency returns the given quantile of the time from first send to whole answer in a phase, for answers before last;
+// 0 without answers.
+func (t *Tally) Latency(p Phase, last time.Time, quantile float64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []time.Duration
 	for _, r := range t.finished {
-		if r.phase == p && r.outcome == crcode.Run {
+		if r.phase == p && r.outcome == crcode.Run && r.end.Before(last) {
 			all = append(all, r.end.Sub(r.start))
 		}
 	}
--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/crcode"
@@ -121,7 +123,12 @@
 	case ctx.Err() != nil:
 		return refusal(crcode.CancelledRun, "")
 	}
-	return refusal(crcode.AnswerLost, err.Error())
+	var network *net.OpError
+	if errors.Is(err, io.EOF) || errors.As(err, &network) {
+		return refusal(crcode.AnswerLost, err.Error())
+	}
+	// Other errors of net/http quote what the backend server sent, which may belong to another request.
+	return refusal(crcode.AnswerLost, "the backend server did not answer in HTTP")
 }
 
 // read takes the whole answer or refuses it as truncated, too large or another request's.
@@ -144,11 +151,20 @@
 		return refusal(crcode.AnswerTooLarge, "")
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == crcode.NotRun.String() {
-		return answer{code: crcode.ServerRefused, retryAfter: retryAfter(resp.Header)}
+		return answer{code: crcode.ServerRefused, detail: deeperRefusal(resp.Header), retryAfter: retryAfter(resp.Header)}
 	}
 	return answer{code: crcode.OK, status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}
 }
 
+// deeperRefusal names the refused deeper call that a backend server passed on; another server would meet it too.
+func deeperRefusal(h http.Header) string {
+	code, err := strconv.ParseUint(h.Get(HeaderCode), 10, 16)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprintf("a deeper call was refused with code %d", code)
+}
+
 func retryAfter(h http.Header) time.Duration {
 	ms, err := strconv.ParseInt(h.Get(HeaderRetryAfter), 10, 32)
 	if err != nil || ms < 0 {
@@ -157,15 +173,21 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// refuses reports whether nobody listens at the address; a server that is only slow to accept does not count.
+func refuses(ctx context.Context, address string) bool {
+	return errors.Is(dial(ctx, address), syscall.ECONNREFUSED)
+}
+
 // alive reports whether the backend server accepts a connection, to tell a crash from a broken connection.
-func alive(ctx context.Context, address string) bool {
+func alive(ctx context.Context, address string) bool { return dial(ctx, address) == nil }
+
+func dial(ctx context.Context, address string) error {
 	var d net.Dialer
 	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 	defer cancel()
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = conn.Close()
-	return true
+	return conn.Close()
 }
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -157,7 +157,11 @@
 	}
 	n.Counters.Add("config_updates", 1)
 	p.entriesChanged(u.Entries)
+	before := n.followed(n.Settings.Service)
 	n.cover(u.Services)
+	if last, serving := n.lease.current(time.Now()); serving && !before {
+		n.tellDirectory(last)
+	}
 }
 
 // mergeReplaced returns the whole view after an update that replaces the entries of some services. Such an update may also
