crreplica: do not write the member id while others read it

Cause: Run set the id again that its owner had set before, while the control instance logs and answers with it: a data race. Ruled out: other fields; the race detector names this one only. Change: the id is written only when it differs. Conclusion: none.

--- a/internal/crreplica/crreplica.go
+++ b/internal/crreplica/crreplica.go
@@ -144,7 +144,8 @@
 	if r.Store == nil && !r.Observer {
 		return crcode.New(crcode.BadValue, "a voting member needs a store")
 	}
-	if r.Store != nil {
+	if r.Store != nil && r.ID != r.Store.Identity().ID {
+		// An owner that reads the id while the replica runs has set it before.
 		r.ID = r.Store.Identity().ID
 	}
 	empty := r.State.Hard == crlog.HardState{} && len(r.State.Entries) == 0 && len(r.State.Snapshot.Members) == 0 && r.State.Snapshot.Index == 0
