crspread: name only nodes that stay behind in acknowledgements

Cause: in a burst of changes every node is behind for a moment, so each acknowledgement named up to 64 nodes, 20 times a second on each link. Change: an acknowledgement names a node only when it lacks a version that its parent had in force a heartbeat (1 s) ago; the others are counted in lagging_more as before. "ctl wait" names a node that lags at most 1 s later than before.

--- a/internal/crspread/core.go
+++ b/internal/crspread/core.go
@@ -26,11 +26,13 @@
 	children map[uint64]*child
 	lost     []lostChild
 
-	parent  *parentLink
-	join    joinState
-	out     []Output
-	counts  Counters
-	lastUp  time.Time
+	parent *parentLink
+	join   joinState
+	out    []Output
+	counts Counters
+	lastUp time.Time
+	// history tells which nodes are behind for longer than a burst of changes explains.
+	history history
 	sentUp  *crwire.SpreadUp
 	sentSub map[string]bool
 }
@@ -297,6 +299,7 @@
 
 // acknowledge reports the subtree to the parent when something changed, at least once per heartbeat interval.
 func (c *Core) acknowledge(now time.Time) {
+	c.history.note(now, c.store.version, now.Add(-HeartbeatInterval))
 	p := c.parent
 	if p == nil {
 		return
--- a/internal/crspread/progress.go
+++ b/internal/crspread/progress.go
@@ -41,12 +41,48 @@
 		Version: p.Version.Wire(), Minimum: p.Minimum.Wire(), Count: uint32(p.Nodes + p.Lost),
 		LaggingMore: uint32(p.LaggingMore),
 	}
+	settled := c.history.before(now.Add(-HeartbeatInterval))
 	for _, l := range p.Lagging {
+		if !l.Version.Less(settled) {
+			// In a burst of changes all nodes are behind for a moment; their names would be most of the bytes.
+			up.LaggingMore++
+			continue
+		}
 		up.Lagging = append(up.Lagging, &crwire.SpreadLagging{Name: l.Name, Version: l.Version.Wire()})
 	}
 	return up
 }
 
+// history holds the versions that this process had in force lately, the oldest first.
+type history []taken
+
+type taken struct {
+	at      time.Time
+	version crconfig.Version
+}
+
+// note adds the present version and forgets those that were replaced before the time keep.
+func (h *history) note(now time.Time, v crconfig.Version, keep time.Time) {
+	if n := len(*h); n == 0 || (*h)[n-1].version != v {
+		*h = append(*h, taken{now, v})
+	}
+	for len(*h) > 1 && !(*h)[1].at.After(keep) {
+		*h = (*h)[1:]
+	}
+}
+
+// before returns the version that was in force at a time, the zero version when none is known.
+func (h history) before(at time.Time) crconfig.Version {
+	var v crconfig.Version
+	for _, t := range h {
+		if t.at.After(at) {
+			break
+		}
+		v = t.version
+	}
+	return v
+}
+
 // progress sums up the acknowledgements; lost children count with the last version that they acknowledged.
 func (c *Core) progress(now time.Time) Progress {
 	p := Progress{Version: c.store.version, Minimum: c.store.version}
