crrecord: let answers use half of a keeper's memory at most

Change: bodies are stored only up to half of the bound. Above it an answer is "not kept", which its resend is told. Measured: go test ./pkg/crrecord ./internal/crkeeper passes; the new test fails at claim 55 of 150 without the change.

--- a/pkg/crrecord/keeper.go
+++ b/pkg/crrecord/keeper.go
@@ -12,6 +12,9 @@
 	// maxTombstones bounds remembered releases. A forgotten one lets a delayed claim message take the id for a token
 	// that never runs, which blocks the id until the record expires but allows no second run.
 	maxTombstones = 4096
+	// answerShare keeps bodies out of all but the first half of the memory bound: without a body a resend is still told
+	// that the request ran, but without room for its record a request is refused.
+	answerShare = 2
 	// recordOverhead approximates the memory of a record besides its strings and body: map entry, struct, pointers.
 	recordOverhead = 320
 )
@@ -22,7 +25,7 @@
 	Self Member
 	// MaxRecords bounds the number of records; zero means 200,000.
 	MaxRecords int
-	// MaxBytes bounds the memory of records and answers; zero means 48 MiB.
+	// MaxBytes bounds the memory of records and answers; zero means 48 MiB. Bodies of answers are stored up to half of it.
 	MaxBytes int64
 	// ConfirmWithin, when set, refuses claims if Confirm was not called for this long. Without it a majority that is
 	// cut off from the control instances may grant ids that a fenced successor grants as well.
@@ -215,7 +218,7 @@
 
 func (k *Keeper) storeAnswer(r *record, a Answer) {
 	r.done = true
-	if len(a.Body) > MaxAnswerBytes || k.bytes+int64(len(a.Body)) > k.maxBytes() {
+	if len(a.Body) > MaxAnswerBytes || k.bytes+int64(len(a.Body)) > k.maxBytes()/answerShare {
 		a.Body, a.Omitted = nil, true
 	}
 	a.Body = slices.Clone(a.Body)
--- a/pkg/crrecord/keeper_test.go
+++ b/pkg/crrecord/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,6 +145,20 @@
 	c.Check(k.Claim(at(0), Claim{testID(testMS, 0), bodyA, 9, 1}).Answer, qt.DeepEquals, Answer{Status: 200, Omitted: true})
 }
 
+// Guards against answers that fill a keeper's memory, so that requests are refused for lack of room for their records.
+func TestAnswersLeaveRoomForRecords(t *testing.T) {
+	c := qt.New(t)
+	k := started("a")[0]
+	k.MaxBytes = 200_000
+	body := strings.Repeat("x", MaxAnswerBytes)
+	for n := range uint64(150) {
+		id := testID(testMS, n)
+		c.Assert(claimAt(at(0), k, id, bodyA, Token(n+1), 1), qt.Equals, Granted, qt.Commentf("claim %d, %d bytes", n, k.Stats().Bytes))
+		c.Assert(complete(at(0), k, id, Token(n+1), body), qt.Equals, Done)
+	}
+	c.Assert(k.Stats().Bytes > k.MaxBytes/answerShare, qt.IsTrue)
+}
+
 // Guards against grants by a keeper whose group may have a successor with a fence.
 func TestUnconfirmedKeeperRefuses(t *testing.T) {
 	c := qt.New(t)
