croperator: one client for operator commands, and no split budget

Cause: the HTTP exchange of a command stood four times (ctl, demo, capacity, tests). crbudget.Budget was the design that the counter at the holder replaced; nothing used it. Change: internal/croperator in place of the four; Budget, its example, test and benchmark removed with it. Measured: go build and go vet clean.

--- a/internal/crcapacity/cluster.go
+++ b/internal/crcapacity/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +18,7 @@
 
 	"github.com/citronramp/citronramp/internal/crcontrol"
 	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/internal/croperator"
 	"github.com/citronramp/citronramp/internal/crsettings"
 )
 
@@ -181,21 +181,7 @@
 func (c *cluster) command(line string) (string, error) { return c.commandAt(0, line) }
 
 func (c *cluster) commandAt(i int, line string) (string, error) {
-	req, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+c.controls[i].Settings.Operator+"/v1/command", strings.NewReader(line))
-	if err != nil {
-		return "", err
-	}
-	req.Header.Set("Authorization", "Bearer "+clusterSecret)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("%s: %s", line, strings.TrimSpace(string(text)))
-	}
-	return string(text), err
+	return (&croperator.Client{Address: c.controls[i].Settings.Operator, Secret: clusterSecret}).Command(c.ctx, line)
 }
 
 // change sends a change and returns the version that it got.
--- a/internal/crcli/ctl.go
+++ b/internal/crcli/ctl.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -16,6 +14,7 @@
 
 	"github.com/citronramp/citronramp/internal/crconfig"
 	"github.com/citronramp/citronramp/internal/crlang"
+	"github.com/citronramp/citronramp/internal/croperator"
 	"github.com/citronramp/citronramp/internal/crsettings"
 	"github.com/citronramp/citronramp/pkg/crcode"
 )
@@ -136,7 +135,8 @@
 	defer cancel()
 	var last error
 	for _, addr := range o.addrs {
-		code, text, err := o.post(ctx, addr, line)
+		client := croperator.Client{Address: addr, Secret: o.secret, Operator: o.operator, JSON: o.json}
+		code, text, err := client.Send(ctx, line)
 		if err == nil && code != crcode.NoLeader {
 			return code, text, nil
 		}
@@ -147,29 +147,3 @@
 	}
 	return 0, "", fmt.Errorf("no control instance took the command; check --at: %w", last)
 }
-
-func (o *operatorClient) post(ctx context.Context, addr, line string) (crcode.Code, string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/command", strings.NewReader(line))
-	if err != nil {
-		return 0, "", err
-	}
-	req.Header.Set("Authorization", "Bearer "+o.secret)
-	req.Header.Set("Citronramp-Operator", o.operator)
-	if o.json {
-		req.Header.Set("Accept", "application/json")
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, "", err
-	}
-	code, err := strconv.Atoi(resp.Header.Get("Citronramp-Code"))
-	if err != nil {
-		return 0, "", fmt.Errorf("%s is no operator address", addr)
-	}
-	return crcode.Code(code), string(text), nil
-}
--- a/internal/crdemo/deployment.go
+++ b/internal/crdemo/deployment.go
@@ -4,11 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +13,7 @@
 
 	"github.com/citronramp/citronramp/internal/crcontrol"
 	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/internal/croperator"
 	"github.com/citronramp/citronramp/internal/crsettings"
 )
 
@@ -154,24 +152,7 @@
 
 // Command sends one operator command and returns the answer's text.
 func (d *Deployment) Command(ctx context.Context, line string) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Control.Settings.Operator+"/v1/command", strings.NewReader(line))
-	if err != nil {
-		return "", err
-	}
-	req.Header.Set("Authorization", "Bearer "+demoSecret)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return "", err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return string(text), fmt.Errorf("%s: %s", line, strings.TrimSpace(string(text)))
-	}
-	return string(text), nil
+	return (&croperator.Client{Address: d.Control.Settings.Operator, Secret: demoSecret}).Command(ctx, line)
 }
 
 // retryInterval is the pause between looks at a condition.
--- /dev/null
+++ b/internal/croperator/croperator.go
@@ -0,0 +1,72 @@
+// Package croperator sends operator commands to a control instance over HTTP; docs/interface.md describes the exchange.
+package croperator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Client sends commands to one control instance.
+type Client struct {
+	// Address is the operator address of the control instance.
+	Address string
+	Secret  string
+	// Operator is the name that others are shown.
+	Operator string
+	// JSON asks for answers as JSON in place of text.
+	JSON bool
+	// HTTP is the client in use; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Send sends one command and returns its result code and printed answer; an error means that no answer came, so a change
+// may have been accepted.
+func (c *Client) Send(ctx context.Context, line string) (crcode.Code, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+"/v1/command", strings.NewReader(line))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Secret)
+	if c.Operator != "" {
+		req.Header.Set("Citronramp-Operator", c.Operator)
+	}
+	if c.JSON {
+		req.Header.Set("Accept", "application/json")
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, "", err
+	}
+	code, err := strconv.ParseUint(resp.Header.Get("Citronramp-Code"), 10, 16)
+	if err != nil {
+		return 0, "", fmt.Errorf("%s is no operator address", c.Address)
+	}
+	return crcode.Code(code), string(text), nil
+}
+
+// Command sends one command and returns its printed answer; a refused command is an error with the answer in it.
+func (c *Client) Command(ctx context.Context, line string) (string, error) {
+	code, text, err := c.Send(ctx, line)
+	if err != nil {
+		return text, err
+	}
+	if code.HTTPStatus() != http.StatusOK {
+		return text, crcode.New(code, "%s: %s", line, strings.TrimSpace(text))
+	}
+	return text, nil
+}
--- a/internal/crtest/crtest.go
+++ b/internal/crtest/crtest.go
@@ -3,13 +3,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +15,7 @@
 
 	"github.com/citronramp/citronramp/internal/crcontrol"
 	"github.com/citronramp/citronramp/internal/crnode"
+	"github.com/citronramp/citronramp/internal/croperator"
 	"github.com/citronramp/citronramp/internal/crsettings"
 )
 
@@ -305,21 +303,7 @@
 func (k *Cluster) Command(c *Control, line string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Settings.Operator+"/v1/command", strings.NewReader(line))
-	if err != nil {
-		return "", err
-	}
-	req.Header.Set("Authorization", "Bearer "+Secret)
-	resp, err := k.Client.Do(req)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = errors.New(line + ": " + string(text))
-	}
-	return string(text), err
+	return (&croperator.Client{Address: c.Settings.Operator, Secret: Secret, HTTP: k.Client}).Command(ctx, line)
 }
 
 func (k *Cluster) configure() {
--- a/pkg/crbudget/crbudget.go
+++ b/pkg/crbudget/crbudget.go
@@ -1,6 +1,5 @@
-// Package crbudget bounds the retries of a request over its whole call graph: a split budget per running request, a
-// counter per request id, and a retry ratio per service. It has no clock and no goroutine; all types are safe for
-// concurrent use.
+// Package crbudget bounds the retries of a request over its whole call graph: a counter per request id and a retry ratio
+// per service. It has no clock and no goroutine; all types are safe for concurrent use.
 package crbudget
 
 import (
@@ -9,73 +8,6 @@
 	"time"
 )
 
-// Budget holds the extra attempts that one running request may still spend or hand to deeper calls.
-// The sum of held, spent, delegated and lost never changes; the zero Budget holds nothing.
-type Budget struct {
-	mu        sync.Mutex
-	held      int
-	spent     int
-	delegated int
-	lost      int
-}
-
-// NewBudget returns a budget that holds n extra attempts; a negative n counts as zero.
-func NewBudget(n int) *Budget { return &Budget{held: max(n, 0)} }
-
-// Take spends up to n held attempts and returns how many it granted.
-func (b *Budget) Take(n int) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n = min(max(n, 0), b.held)
-	b.held -= n
-	b.spent += n
-	return n
-}
-
-// Delegate hands half of the held attempts, rounded down, to a deeper call.
-func (b *Budget) Delegate() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := b.held / 2
-	b.held -= n
-	b.delegated += n
-	return n
-}
-
-// Return settles a delegated part whose answer arrived: left attempts come back and the rest was spent below.
-// An answer that claims more than was delegated is cut to the part, so that a wrong answer cannot raise the bound.
-func (b *Budget) Return(part, left int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	part = min(max(part, 0), b.delegated)
-	left = min(max(left, 0), part)
-	b.delegated -= part
-	b.held += left
-	b.spent += part - left
-}
-
-// Lose settles a delegated part whose answer was lost; it may have been spent, so it never comes back.
-func (b *Budget) Lose(part int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	part = min(max(part, 0), b.delegated)
-	b.delegated -= part
-	b.lost += part
-}
-
-// Remaining returns the held attempts.
-func (b *Budget) Remaining() int { return b.State().Held }
-
-// State is a copy of a budget's parts.
-type State struct{ Held, Spent, Delegated, Lost int }
-
-// State returns the parts of the budget at one moment.
-func (b *Budget) State() State {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return State{b.held, b.spent, b.delegated, b.lost}
-}
-
 // Ratio limits the retries of one service to a fraction of its successes plus a constant rate, by a token bucket.
 // Fields are set before use; zero fields mean 0.1 per success, 1 per second and a burst of 20.
 type Ratio struct {
--- a/pkg/crbudget/crbudget_test.go
+++ b/pkg/crbudget/crbudget_test.go
@@ -16,77 +16,6 @@
 
 var t0 = time.Unix(1_800_000_000, 0)
 
-// Example embeds the three bounds in a caller that retries one call.
-func Example() {
-	var home crbudget.HomeCounter
-	var ratio crbudget.Ratio
-	rnd := rand.New(rand.NewPCG(1, 2))
-	now := t0
-	granted, ok := home.Arrive(now, "n1-5f3a.1.a", now, 3, 3)
-	fmt.Println("admitted", ok, "granted", granted)
-	budget := crbudget.NewBudget(granted)
-	for attempt := 1; ; attempt++ {
-		part := budget.Delegate() // travels with the call
-		answered, left := attempt == 2, part
-		budget.Return(part, left)
-		if answered || !ratio.Allow(now) || budget.Take(1) == 0 {
-			break
-		}
-		now = now.Add(crbudget.Backoff(attempt, rnd))
-	}
-	home.Return("n1-5f3a.1.a", budget.Remaining())
-	fmt.Println("spent", budget.State().Spent, "left", budget.Remaining())
-	// Output:
-	// admitted true granted 2
-	// spent 1 left 1
-}
-
-// Guards against a budget that creates attempts, whatever the order of calls and the claims of answers.
-func TestBudgetConserved(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		total := rapid.IntRange(0, 40).Draw(t, "total")
-		tree := []*crbudget.Budget{crbudget.NewBudget(total)}
-		parent, part := []int{-1}, []int{0}
-		open, taken := map[int]bool{0: true}, 0
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			i := rapid.IntRange(0, len(tree)-1).Draw(t, "node")
-			if !open[i] {
-				continue
-			}
-			lie := 0
-			if part[i] == tree[i].Remaining() {
-				// Only more than the whole part can be told from an honest answer.
-				lie = rapid.IntRange(0, 9).Draw(t, "lie")
-			}
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
-			case 0:
-				taken += tree[i].Take(rapid.IntRange(-1, 5).Draw(t, "n"))
-			case 1:
-				n := tree[i].Delegate()
-				open[len(tree)] = true
-				tree, parent, part = append(tree, crbudget.NewBudget(n)), append(parent, i), append(part, n)
-			case 2:
-				if i > 0 && open[parent[i]] {
-					open[i] = false
-					tree[parent[i]].Return(part[i], tree[i].Remaining()+lie)
-				}
-			case 3:
-				if i > 0 && open[parent[i]] {
-					open[i] = false
-					tree[parent[i]].Lose(part[i])
-				}
-			}
-		}
-		root := tree[0].State()
-		if sum := root.Held + root.Spent + root.Delegated + root.Lost; sum != total || root.Held > total {
-			t.Fatalf("sum %d of %+v, want %d", sum, root, total)
-		}
-		if taken > total {
-			t.Fatalf("%d attempts taken of %d", taken, total)
-		}
-	})
-}
-
 // Guards against more than 1 + R attempts over home and record keepers together, with expiry, eviction and resends.
 func TestCountersNeverExceedBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -148,17 +77,17 @@
 // Guards against data races and attempts granted twice when goroutines share the counters.
 func TestConcurrentUse(t *testing.T) {
 	c := qt.New(t)
-	budget, home, ratio := crbudget.NewBudget(1000), crbudget.HomeCounter{}, crbudget.Ratio{Burst: 100}
+	home, ratio := crbudget.HomeCounter{}, crbudget.Ratio{Burst: 100}
 	var group sync.WaitGroup
-	var taken, granted, retried atomic.Int64
+	var granted, retried atomic.Int64
 	for range 4 {
 		group.Go(func() {
 			for range 500 {
-				part := budget.Delegate()
-				taken.Add(int64(budget.Take(1)))
-				budget.Return(part, part)
 				n, _ := home.Arrive(t0, "a", t0, 7, 1)
 				granted.Add(int64(n))
+				if home.Take(t0, "a") {
+					granted.Add(1)
+				}
 				ratio.Succeeded()
 				if ratio.Allow(t0) {
 					retried.Add(1)
@@ -167,7 +96,6 @@
 		})
 	}
 	group.Wait()
-	c.Assert(int(taken.Load())+budget.Remaining(), qt.Equals, 1000)
 	c.Assert(granted.Load() <= 4, qt.IsTrue)
 	c.Assert(retried.Load() <= 201, qt.IsTrue)
 }
@@ -229,15 +157,6 @@
 	}
 }
 
-func BenchmarkBudget(b *testing.B) {
-	b.ReportAllocs()
-	budget := crbudget.NewBudget(4)
-	for b.Loop() {
-		n := budget.Delegate()
-		budget.Return(n, n)
-	}
-}
-
 func BenchmarkArrive(b *testing.B) {
 	b.ReportAllocs()
 	ids := make([]string, 1<<15)
