--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -248,7 +248,7 @@
 		TargetIncarnation: incarnation, Body: c.body, ContentType: c.contentType, BodyChecksum: crc32.ChecksumIEEE(c.body), Depth: uint32(c.depth),
 	}
 	if server == n.Settings.Name {
-		return n.serveCall(ctx, nil, req)
+		return n.serveCall(ctx, req), nil
 	}
 	s, err := n.endpoint.Session(ctx, addr)
 	if err != nil {
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -18,14 +18,14 @@
 const finishGrace = 10 * time.Second
 
 // handleCall serves a call that another node sent to the backend server beside this node.
-func (n *Node) handleCall(ctx context.Context, from *crwire.Session, req *crwire.CallRequest) (*crwire.CallResponse, error) {
-	return n.serveCall(ctx, from, req)
+func (n *Node) handleCall(ctx context.Context, _ *crwire.Session, req *crwire.CallRequest) (*crwire.CallResponse, error) {
+	return n.serveCall(ctx, req), nil
 }
 
-// serveCall admits and runs one call; from is nil for a call of this node itself.
-func (n *Node) serveCall(ctx context.Context, _ *crwire.Session, req *crwire.CallRequest) (*crwire.CallResponse, error) {
+// serveCall admits and runs one call of another node or of this one.
+func (n *Node) serveCall(ctx context.Context, req *crwire.CallRequest) *crwire.CallResponse {
 	a, spent := n.guard(ctx, req)
-	return n.response(req, a, spent), nil
+	return n.response(req, a, spent)
 }
 
 // guard checks what can be checked without a place, then runs the call behind the gate.
