--- a/internal/crnode/worth.go
+++ b/internal/crnode/worth.go
@@ -75,6 +75,10 @@
 	if k.Protected() {
 		class = cradmission.Protected
 	}
-	worth := max(uint64(k.Worth())*worthScale>>n.runTimes.power(kindName(k)), 1)
-	return cradmission.NewPriority(class, uint32(worth), rootID)
+	return cradmission.NewPriority(class, n.runTimes.weigh(kindName(k), uint32(k.Worth())), rootID)
+}
+
+// weigh returns the worth of a kind for the time that it holds places, at least 1.
+func (t *runTimes) weigh(kind string, worth uint32) uint32 {
+	return uint32(max(uint64(worth)*worthScale>>t.power(kind), 1))
 }
