crspread: acknowledge a version once the view has taken it

Cause: a node whose view refused an update counted config_refused and went on, while the tree acknowledged the version and never sent it again. `wait` then reported a version in force that the node did not use, and its keeper went on with a fresh confirmation. Change: OnUpdate returns an error, and the core learns the result by Viewed. Its subtree is not held back. The state dump shows the version of the view. Conclusion: the acknowledgement follows the view.

--- a/internal/crnode/dump.go
+++ b/internal/crnode/dump.go
@@ -64,7 +64,7 @@
 			Minimum     string   `json:"subtree_minimum_version"`
 			Nodes       int      `json:"subtree_nodes"`
 		}{
-			spread.Version.String(), spread.Digest.String(), spread.Entries, spread.Confirmed, spread.ConfirmedAge.Milliseconds(), spread.Parent,
+			n.view.Version().String(), spread.Digest.String(), spread.Entries, spread.Confirmed, spread.ConfirmedAge.Milliseconds(), spread.Parent,
 			spread.Path, spread.Children, spread.Services, spread.Counters.Older, spread.Progress.Minimum.String(), spread.Progress.Nodes,
 		},
 		Backend: struct {
--- a/internal/crnode/merge_test.go
+++ b/internal/crnode/merge_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
 
 	"github.com/citronramp/citronramp/internal/crconfig"
 	"github.com/citronramp/citronramp/internal/crspread"
@@ -29,3 +30,17 @@
 	c.Assert(keys, qt.DeepEquals, []string{"b", "a", "e", "d"})
 	c.Assert(merged[1].GetVersion().GetIndex(), qt.Equals, uint64(5))
 }
+
+// TestRefusedUpdateIsReported guards against a node that acknowledges a version which its view refused.
+func TestRefusedUpdateIsReported(t *testing.T) {
+	c := qt.New(t)
+	n := &Node{Logger: log.NewNopLogger()}
+	n.init()
+	p := &parts{node: n}
+	err := p.updated(crspread.Update{
+		Version: crconfig.Version{Epoch: 1, Index: 2}, Full: true,
+		Entries: []*crwire.ConfigEntry{{Key: "kind/a/b", Service: "a", Version: &crwire.ConfigVersion{Epoch: 1, Index: 3}}},
+	})
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(n.view.Version(), qt.Equals, crconfig.Version{})
+}
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -138,8 +138,9 @@
 	crwire.Handle(mux, MethodShedding, n.handleShedding)
 }
 
-// updated takes a change of the configuration into the view and tells the keeper its groups.
-func (p *parts) updated(u crspread.Update) {
+// updated takes a change of the configuration into the view and tells the keeper its groups. An error tells the tree that
+// the view stays at its older version.
+func (p *parts) updated(u crspread.Update) error {
 	n := p.node
 	var err error
 	switch {
@@ -153,7 +154,7 @@
 	if err != nil {
 		n.Counters.Add("config_refused", 1)
 		_ = level.Error(n.Logger).Log("msg", "configuration refused", "version", u.Version, "err", err)
-		return
+		return err
 	}
 	n.Counters.Add("config_updates", 1)
 	p.entriesChanged(u.Entries)
@@ -162,6 +163,7 @@
 	if last, serving := n.lease.current(time.Now()); serving && !before {
 		n.tellDirectory(last)
 	}
+	return nil
 }
 
 // mergeReplaced returns the whole view after an update that replaces the entries of some services. Such an update may also
--- a/internal/crspread/core.go
+++ b/internal/crspread/core.go
@@ -23,6 +23,7 @@
 	confirmedAt time.Time
 
 	local    *child
+	view     viewState
 	children map[uint64]*child
 	lost     []lostChild
 
@@ -304,6 +305,7 @@
 	if p == nil {
 		return
 	}
+	c.retryView(now)
 	up := c.aggregate(now)
 	merged := c.merged(now)
 	idle := now.Sub(c.lastUp) >= HeartbeatInterval
--- a/internal/crspread/crspread.go
+++ b/internal/crspread/crspread.go
@@ -147,6 +147,8 @@
 	BatchesSent    uint64
 	BatchesApplied uint64
 	Attempts       uint64
+	// ViewRefusals counts the updates that the node's own view refused.
+	ViewRefusals uint64
 }
 
 // Lagging names a node behind the reporting process and the version that it has in force.
@@ -157,7 +159,7 @@
 
 // Progress is the state of acknowledgements below a process.
 type Progress struct {
-	// Version is what the process itself has in force, Minimum the oldest one in its subtree.
+	// Version is what the process passes on, Minimum the oldest one in force in its subtree, its own view included.
 	Version, Minimum crconfig.Version
 	// Nodes counts the nodes of the subtree, the process included unless it is a root; Lost counts those whose link
 	// broke a short time ago and which may have rejoined elsewhere.
--- a/internal/crspread/driver.go
+++ b/internal/crspread/driver.go
@@ -34,7 +34,7 @@
 // driver runs a core over an endpoint.
 type driver struct {
 	endpoint *crwire.Endpoint
-	onUpdate func(Update)
+	onUpdate func(Update) error
 	in       *crring.Ring[event]
 	links    atomic.Uint64
 	wg       sync.WaitGroup
@@ -64,7 +64,7 @@
 	link    uint64
 }
 
-func newDriver(cfg Config, e *crwire.Endpoint, onUpdate func(Update)) *driver {
+func newDriver(cfg Config, e *crwire.Endpoint, onUpdate func(Update) error) *driver {
 	d := &driver{
 		endpoint: e, onUpdate: onUpdate, in: crring.New[event](inRing),
 		core: New(time.Now(), cfg), children: map[uint64]*childConn{}, parents: map[uint64]*parentConn{},
@@ -120,9 +120,11 @@
 			p.cancel()
 		}
 	case Update:
+		var err error
 		if d.onUpdate != nil {
-			d.onUpdate(o)
+			err = d.onUpdate(o)
 		}
+		d.step(func(now time.Time, c *Core) []Output { return c.Viewed(now, o, err) })
 	}
 }
 
--- a/internal/crspread/join.go
+++ b/internal/crspread/join.go
@@ -74,9 +74,14 @@
 	j.links++
 	j.link, j.address, j.deadline = j.links, address, now.Add(joinTimeout)
 	c.counts.Attempts++
+	version := c.store.version
+	if c.view.refusals > 0 {
+		// A new parent counts the version of a join as acknowledged; without one it sends the whole view.
+		version = crconfig.Version{}
+	}
 	c.out = append(c.out, OpenParent{Link: j.link, Address: address, Join: &crwire.SpreadJoin{
 		Name: c.cfg.Name, Incarnation: c.cfg.Incarnation, Domain: c.cfg.Domain, Address: c.cfg.Address,
-		Version: c.store.version.Wire(), Floor: c.floor.Wire(),
+		Version: version.Wire(), Floor: c.floor.Wire(),
 		Services: sorted(c.merged(now)), Held: c.store.held(),
 		AllowUnconfirmed: j.allow, Subtree: uint32(c.subtree()),
 	}})
--- a/internal/crspread/node.go
+++ b/internal/crspread/node.go
@@ -17,8 +17,9 @@
 	Config Config
 	// Endpoint dials control instances and parents and accepts children.
 	Endpoint *crwire.Endpoint
-	// OnUpdate, when set, is told of each change in force, in order; it must not block.
-	OnUpdate func(Update)
+	// OnUpdate, when set, takes each change into the node's view, in order; it must not block. After an error the node does
+	// not acknowledge the version and asks for the whole view.
+	OnUpdate func(Update) error
 
 	run atomic.Pointer[driver]
 }
--- a/internal/crspread/node_test.go
+++ b/internal/crspread/node_test.go
@@ -135,13 +135,14 @@
 		Name: fmt.Sprintf("n%03d", i), Domain: fmt.Sprintf("d%d", i%4), Controls: []string{c.addr},
 		Services: []string{service}, Seed: uint64(i),
 	}
-	n.OnUpdate = func(u Update) {
+	n.OnUpdate = func(u Update) error {
 		if w := c.watched.Load(); w != 0 && u.Version.Index >= w {
 			select {
 			case c.inForce <- time.Now():
 			default:
 			}
 		}
+		return nil
 	}
 	c.start(n.Config.Name, &n.Config, &n.Endpoint, n.Register, n.Run, &n.stop)
 	c.nodes = append(c.nodes, n)
--- a/internal/crspread/progress.go
+++ b/internal/crspread/progress.go
@@ -88,6 +88,10 @@
 	p := Progress{Version: c.store.version, Minimum: c.store.version}
 	if !c.root() {
 		p.Nodes = 1
+		if c.view.version.Less(p.Version) {
+			p.Minimum = c.view.version
+			p.Lagging = append(p.Lagging, Lagging{Name: c.cfg.Name, Version: c.view.version})
+		}
 	}
 	for _, ch := range c.children {
 		p.Nodes += int(ch.up.GetCount())
@@ -152,11 +156,12 @@
 	s := Status{
 		Name: c.cfg.Name, Root: c.root(), Version: c.store.version, Digest: c.store.total(),
 		Entries: len(c.store.keys), Path: c.path(), Services: c.store.held(),
-		Confirmed: !c.unconfirmed(now), EverConfirmed: c.confirmed,
-		Progress: c.progress(now), Counters: c.counts,
+		EverConfirmed: c.confirmed,
+		Progress:      c.progress(now), Counters: c.counts,
 	}
 	if c.confirmed {
-		s.ConfirmedAge = now.Sub(c.confirmedAt)
+		s.ConfirmedAge = now.Sub(c.viewConfirmedAt())
+		s.Confirmed = s.ConfirmedAge <= UnconfirmedAfter
 	}
 	if c.parent != nil {
 		s.Parent = c.parent.address
--- a/internal/crspread/sim_test.go
+++ b/internal/crspread/sim_test.go
@@ -65,6 +65,8 @@
 	queue []func()
 	// filter returns how many times a message is delivered.
 	filter func(from, to string, m proto.Message) int
+	// refuse, when set, is asked whether a view refuses an update.
+	refuse func(name string, u Update) error
 	// after, when set, is called after each step.
 	after func()
 }
@@ -101,7 +103,7 @@
 		case CloseParent:
 			s.cut(end{name, o.Link})
 		case Update:
-			s.update(name, o)
+			s.run(name, s.cores[name].Viewed(s.now, o, s.update(name, o)))
 		}
 	}
 }
@@ -180,7 +182,12 @@
 	}
 }
 
-func (s *sim) update(name string, u Update) {
+func (s *sim) update(name string, u Update) error {
+	if s.refuse != nil {
+		if err := s.refuse(name, u); err != nil {
+			return err
+		}
+	}
 	view := s.views[name]
 	for key, e := range view {
 		if u.Full || slices.Contains(u.Replaced, e.GetService()) ||
@@ -194,6 +201,7 @@
 			view[e.GetKey()] = e
 		}
 	}
+	return nil
 }
 
 func (s *sim) step() {
