crprint: name control instances that don't answer; drop AGE

Cause: `show spread` left out the nodes of a control instance that did not answer without a word, while `wait` counted it and then printed "Behind: 0 nodes". `show servers` printed AGE 0ms for each server. Answers said "1 kinds" and "1 nodes". Change: `show spread` and `wait` name the control instances that did not answer, as text and as `unreached` in JSON. The column AGE and `age_ms` are gone: only the control instance that receives a node's renewals knows their age, so with several instances most rows had none. Counts of one take the singular. Conclusion: a spread that is not fully known says so.

--- a/internal/crconfig/objects.go
+++ b/internal/crconfig/objects.go
@@ -59,7 +59,10 @@
 func (t *transaction) deleteService(c *crwire.DeleteService) *answer {
 	key := ServiceKey(c.Name)
 	return t.delete(key, func() *answer {
-		if n := t.s.kinds[c.Name]; n > 0 {
+		switch n := t.s.kinds[c.Name]; {
+		case n == 1:
+			return refuse(crcode.HasKinds, key, "service %s has 1 kind; delete it first", c.Name)
+		case n > 1:
 			return refuse(crcode.HasKinds, key, "service %s has %d kinds; delete them first", c.Name, n)
 		}
 		return nil
--- a/internal/crcontrol/progress.go
+++ b/internal/crcontrol/progress.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crconfig"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crlog"
 )
 
 // progressGrace is the time that another control instance has to answer beyond the wait itself.
@@ -16,8 +18,8 @@
 	nodes, inForce int
 	minimum        crconfig.Version
 	behind         []string
-	// unreached counts control instances that did not answer.
-	unreached int
+	// unreached names the control instances that did not answer; their nodes are not counted.
+	unreached []string
 }
 
 func (p *progress) add(o progress) {
@@ -27,7 +29,7 @@
 	p.nodes += o.nodes
 	p.inForce += o.inForce
 	p.behind = append(p.behind, o.behind...)
-	p.unreached += o.unreached
+	p.unreached = append(p.unreached, o.unreached...)
 }
 
 // localProgress waits at most wait and returns the progress below this instance.
@@ -62,38 +64,39 @@
 func (c *Control) progress(ctx context.Context, v crconfig.Version, wait time.Duration) progress {
 	peers := c.otherInstances()
 	results := make(chan progress, len(peers))
-	for _, addr := range peers {
-		go func() { results <- c.remoteProgress(ctx, addr, v, wait) }()
+	for _, m := range peers {
+		go func() { results <- c.remoteProgress(ctx, m, v, wait) }()
 	}
 	total := c.localProgress(ctx, v, wait)
 	for range peers {
 		total.add(<-results)
 	}
+	slices.Sort(total.unreached)
 	return total
 }
 
-func (c *Control) remoteProgress(ctx context.Context, addr string, v crconfig.Version, wait time.Duration) progress {
+func (c *Control) remoteProgress(ctx context.Context, m crlog.Member, v crconfig.Version, wait time.Duration) progress {
 	ctx, cancel := context.WithTimeout(ctx, wait+progressGrace)
 	defer cancel()
-	s, err := c.endpoint.Session(ctx, addr)
+	s, err := c.endpoint.Session(ctx, m.Address)
 	if err != nil {
-		return progress{unreached: 1}
+		return progress{unreached: []string{m.Name}}
 	}
 	resp, err := crwire.Call[crwire.ProgressResponse](ctx, s, methodProgress, &crwire.ProgressRequest{Version: v.Wire(), WaitMs: wait.Milliseconds()})
 	if err != nil {
-		return progress{unreached: 1}
+		return progress{unreached: []string{m.Name}}
 	}
 	return progress{
 		nodes: int(resp.GetNodes()), inForce: int(resp.GetInForce()), minimum: crconfig.VersionOf(resp.GetMinimum()), behind: resp.GetBehind(),
 	}
 }
 
-// otherInstances returns the inner addresses of the other members of the log.
-func (c *Control) otherInstances() []string {
-	var out []string
+// otherInstances returns the other members of the log.
+func (c *Control) otherInstances() []crlog.Member {
+	var out []crlog.Member
 	for _, m := range c.replica.Status().Members {
 		if m.ID != c.replica.ID {
-			out = append(out, m.Address)
+			out = append(out, m)
 		}
 	}
 	return out
--- a/internal/crcontrol/query.go
+++ b/internal/crcontrol/query.go
@@ -137,7 +137,7 @@
 		version = *v
 	}
 	p := c.progress(ctx, version, 0)
-	return crprint.Spread{Version: version, Nodes: p.nodes, InForce: p.inForce, Minimum: p.minimum, Behind: p.behind}
+	return crprint.Spread{Version: version, Nodes: p.nodes, InForce: p.inForce, Minimum: p.minimum, Behind: p.behind, Unreached: p.unreached}
 }
 
 // wait returns when a version is in force on every node, or when the timeout is over.
@@ -148,8 +148,8 @@
 	start := time.Now()
 	p := c.progress(ctx, x.Version, x.Timeout)
 	return crprint.Waited{
-		Version: x.Version, Done: p.nodes == p.inForce && p.unreached == 0, ElapsedMS: time.Since(start).Milliseconds(),
-		Nodes: p.nodes, InForce: p.inForce, Behind: p.behind,
+		Version: x.Version, Done: p.nodes == p.inForce && len(p.unreached) == 0, ElapsedMS: time.Since(start).Milliseconds(),
+		Nodes: p.nodes, InForce: p.inForce, Behind: p.behind, Unreached: p.unreached,
 	}, nil
 }
 
--- a/internal/crprint/answers.go
+++ b/internal/crprint/answers.go
@@ -72,14 +72,12 @@
 	// State is the announced state, for example serving, cold, suspect or leaving.
 	State   string `json:"state"`
 	Drained bool   `json:"drained"`
-	// AgeMS is the time since the last announcement.
-	AgeMS int64 `json:"age_ms"`
 }
 
 func (a Servers) table() table {
 	return list(a.Servers, "No server has announced itself. Check that the nodes run and know a control instance.",
-		"NODE SERVICE ADDRESS DOMAIN STATE DRAINED AGE", func(s Server) []string {
-			return []string{s.Node, s.Service, s.Address, s.Domain, s.State, yes(s.Drained), milliseconds(s.AgeMS)}
+		"NODE SERVICE ADDRESS DOMAIN STATE DRAINED", func(s Server) []string {
+			return []string{s.Node, s.Service, s.Address, s.Domain, s.State, yes(s.Drained)}
 		})
 }
 
@@ -128,15 +126,15 @@
 func (a Leader) table() table {
 	switch {
 	case a.Name == "" && a.Reachable == 0:
-		return table{sentences: []string{fmt.Sprintf("This instance knows of no control member in charge. More than half of the %d voters must be reached.", a.Voters)}}
+		return table{sentences: []string{fmt.Sprintf("This instance knows of no control member in charge. More than half of the %s must be reached.", plural(a.Voters, "voter"))}}
 	case a.Name == "":
-		return table{sentences: []string{fmt.Sprintf("No control member is in charge. %d of %d voters can be reached; more than half must be.", a.Reachable, a.Voters)}}
+		return table{sentences: []string{fmt.Sprintf("No control member is in charge. %d of %s can be reached; more than half must be.", a.Reachable, plural(a.Voters, "voter"))}}
 	case a.Reachable == 0:
 		// Only the leader itself knows its lease and whom it reaches.
-		return table{sentences: []string{fmt.Sprintf("%s at %s is in charge in term %d. There are %d voters.", a.Name, a.Address, a.Term, a.Voters)}}
+		return table{sentences: []string{fmt.Sprintf("%s at %s is in charge in term %d. There %s %s.", a.Name, a.Address, a.Term, are(a.Voters), plural(a.Voters, "voter"))}}
 	}
-	return table{sentences: []string{fmt.Sprintf("%s at %s is in charge in term %d. %d of %d voters can be reached. Its lease ends in %s.",
-		a.Name, a.Address, a.Term, a.Reachable, a.Voters, milliseconds(a.LeaseMS))}}
+	return table{sentences: []string{fmt.Sprintf("%s at %s is in charge in term %d. %d of %s can be reached. Its lease ends in %s.",
+		a.Name, a.Address, a.Term, a.Reachable, plural(a.Voters, "voter"), milliseconds(a.LeaseMS))}}
 }
 
 // Spread answers show spread.
@@ -148,20 +146,22 @@
 	Minimum crconfig.Version `json:"minimum"`
 	// Behind names nodes that lack the version; the list may be cut, so Nodes - InForce is the exact number.
 	Behind Rows[string] `json:"behind"`
+	// Unreached names the control instances that did not answer; their nodes are not counted.
+	Unreached Rows[string] `json:"unreached"`
 }
 
 func (a Spread) table() table {
-	s := []string{fmt.Sprintf("Version %s is in force on %d of %d nodes.", a.Version, a.InForce, a.Nodes)}
+	s := []string{fmt.Sprintf("Version %s is in force on %d of %s.", a.Version, a.InForce, plural(a.Nodes, "node"))}
 	if a.InForce < a.Nodes {
 		s = append(s, fmt.Sprintf("The oldest version in force is %s.", a.Minimum), behind(a.Behind, a.Nodes-a.InForce))
 	}
-	return table{sentences: s}
+	return table{sentences: append(s, unreached(a.Unreached)...)}
 }
 
 // behind names the nodes that lag and how many more there are.
 func behind(names Rows[string], count int) string {
 	if len(names) == 0 {
-		return fmt.Sprintf("Behind: %d nodes.", count)
+		return fmt.Sprintf("Behind: %s.", plural(count, "node"))
 	}
 	text := "Behind: " + strings.Join(names, ", ")
 	if more := count - len(names); more > 0 {
@@ -170,6 +170,14 @@
 	return text + "."
 }
 
+// unreached names the control instances whose nodes are not counted.
+func unreached(names Rows[string]) []string {
+	if len(names) == 0 {
+		return nil
+	}
+	return []string{"Not counted are the nodes of control instances that did not answer: " + strings.Join(names, ", ") + "."}
+}
+
 // Waited answers wait.
 type Waited struct {
 	Version   crconfig.Version `json:"version"`
@@ -178,16 +186,19 @@
 	Nodes     int              `json:"nodes"`
 	InForce   int              `json:"in_force"`
 	Behind    Rows[string]     `json:"behind"`
+	// Unreached names the control instances that did not answer; the wait is not done without them.
+	Unreached Rows[string] `json:"unreached"`
 }
 
 func (a Waited) table() table {
 	if a.Done {
-		return table{sentences: []string{fmt.Sprintf("Version %s is in force on all %d nodes. Waited %s.", a.Version, a.Nodes, milliseconds(a.ElapsedMS))}}
+		return table{sentences: []string{fmt.Sprintf("Version %s is in force on all %s. Waited %s.", a.Version, plural(a.Nodes, "node"), milliseconds(a.ElapsedMS))}}
+	}
+	s := []string{fmt.Sprintf("Version %s is in force on %d of %s after %s. Wait again.", a.Version, a.InForce, plural(a.Nodes, "node"), milliseconds(a.ElapsedMS))}
+	if a.InForce < a.Nodes {
+		s = append(s, behind(a.Behind, a.Nodes-a.InForce))
 	}
-	return table{sentences: []string{
-		fmt.Sprintf("Version %s is in force on %d of %d nodes after %s. Wait again.", a.Version, a.InForce, a.Nodes, milliseconds(a.ElapsedMS)),
-		behind(a.Behind, a.Nodes-a.InForce),
-	}}
+	return table{sentences: append(s, unreached(a.Unreached)...)}
 }
 
 // Members answers show members.
--- a/internal/crprint/crprint.go
+++ b/internal/crprint/crprint.go
@@ -87,6 +87,22 @@
 
 func number[T ~int | ~int64 | ~uint32 | ~uint64](n T) string { return strconv.FormatInt(int64(n), 10) }
 
+// plural returns a count with its noun.
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return number(n) + " " + noun + "s"
+}
+
+// are returns the verb to a count.
+func are(n int) string {
+	if n == 1 {
+		return "is"
+	}
+	return "are"
+}
+
 func milliseconds(n int64) string { return strconv.FormatInt(n, 10) + "ms" }
 
 func yes(b bool) string {
--- a/internal/crprint/crprint_test.go
+++ b/internal/crprint/crprint_test.go
@@ -51,12 +51,12 @@
 	emit("show services", crprint.ServicesOf(s))
 	emit("show kinds", crprint.KindsOf(s, ""))
 	emit("show kinds service photo", crprint.KindsOf(s, "photo"))
-	emit("show servers", crprint.Servers{Servers: crprint.Rows[crprint.Server]{{"n1", "ledger", "127.0.0.1:7001", "nyanda-a", "serving", crprint.DrainedOf(s)["n1"], 420}}})
+	emit("show servers", crprint.Servers{Servers: crprint.Rows[crprint.Server]{{"n1", "ledger", "127.0.0.1:7001", "nyanda-a", "serving", crprint.DrainedOf(s)["n1"]}}})
 	emit("show shedding", crprint.Shedding{Shedding: crprint.Rows[crprint.Shed]{{"photo", "thumbnail", "ordinary", 5, 1200, 1000, 4, "the queue waits 80ms, the target is 20ms"}}})
 	emit("show shedding service ledger", crprint.Shedding{})
 	emit("show leader", crprint.Leader{Name: "c1", Address: "127.0.0.1:7101", Term: 3, LeaseMS: 740, Voters: 3, Reachable: 2})
 	emit("show leader (none)", crprint.Leader{Voters: 3, Reachable: 1})
-	emit("show spread", crprint.Spread{Version: v, Nodes: 300, InForce: 297, Minimum: crconfig.Version{Epoch: 1, Index: 7}, Behind: crprint.Rows[string]{"n7", "n9"}})
+	emit("show spread", crprint.Spread{Version: v, Nodes: 300, InForce: 297, Minimum: crconfig.Version{Epoch: 1, Index: 7}, Behind: crprint.Rows[string]{"n7", "n9"}, Unreached: crprint.Rows[string]{"c2"}})
 	emit("show members", crprint.Members{Members: crprint.Rows[crprint.Member]{{"c1", "127.0.0.1:7101", "voter", true, 14, 0}, {"c2", "127.0.0.1:7102", "learner", false, 9, 30}}})
 	emit("show convictions", crprint.ConvictionsOf(s, "", time.Time{}, start))
 	emit("show version", crprint.Version{Version: v, AgeMS: 6000})
@@ -111,7 +111,10 @@
 func TestUnknownIsNotTold(t *testing.T) {
 	c := qt.New(t)
 	v := crconfig.Version{Epoch: 1, Index: 5}
-	c.Assert(crprint.Text(crprint.Spread{Version: v, Nodes: 2, InForce: 1}), qt.Contains, "Behind: 1 nodes.")
+	c.Assert(crprint.Text(crprint.Spread{Version: v, Nodes: 2, InForce: 1}), qt.Contains, "Behind: 1 node.")
+	lone := crprint.Waited{Version: v, ElapsedMS: 9, Nodes: 1, InForce: 1, Unreached: crprint.Rows[string]{"c2", "c3"}}
+	c.Assert(crprint.Text(lone), qt.Equals, "Version 1.5 is in force on 1 of 1 node after 9ms. Wait again.\n"+
+		"Not counted are the nodes of control instances that did not answer: c2, c3.\n")
 	c.Assert(crprint.Text(crprint.Leader{Name: "c1", Address: "127.0.0.1:1", Term: 3, Voters: 3}), qt.Equals,
 		"c1 at 127.0.0.1:1 is in charge in term 3. There are 3 voters.\n")
 	c.Assert(crprint.Text(crprint.Leader{Voters: 3}), qt.Contains, "This instance knows of no control member in charge.")
