crcontrol: refuse id and if on changes of members

Cause: `add|remove|replace member` took `id` and `if` and ignored both, so an operator who relied on them was not protected. ctl added an id of its own and sent such a change to the next control instance after a lost answer. Measured: go test -cpu 2 ./internal/crcli ./internal/crlang ./internal/crprint. That ctl ends at a lost answer has no test. Conclusion: an option that cannot be kept is refused.

--- a/internal/crcli/ctl.go
+++ b/internal/crcli/ctl.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -124,13 +125,35 @@
 	if w, ok := cmd.(crlang.Wait); ok {
 		return line, ctlTimeout + w.Timeout
 	}
-	if ch, ok := cmd.(crlang.Change); ok && ch.ChangeOptions().ID == "" {
+	if ch, ok := cmd.(crlang.Change); ok && ch.ChangeOptions().ID == "" && !ofMembers(cmd) {
 		return strings.TrimRight(line, "\r\n") + " id " + crconfig.CommandID(time.Now(), rand.Uint64()), ctlTimeout
 	}
 	return line, ctlTimeout
 }
 
-// send tries each control instance in turn; a change carries an id, so a second send cannot apply it twice.
+// ofMembers reports whether a command changes the control members, which takes no command id.
+func ofMembers(cmd crlang.Command) bool {
+	switch cmd.(type) {
+	case crlang.AddMember, crlang.RemoveMember, crlang.ReplaceMember:
+		return true
+	}
+	return false
+}
+
+// once reports whether a command must not be sent again when its answer may have been lost.
+func once(line string) bool {
+	cmd, err := crlang.Parse(line)
+	return err == nil && ofMembers(cmd)
+}
+
+// notSent reports whether no connection was made, so that the command did not arrive.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// send tries each control instance in turn; a change carries an id, so a second send cannot apply it twice. A change of
+// members has none and ends at the first answer that may be lost.
 func (o *operatorClient) send(ctx context.Context, line string, timeout time.Duration) (crcode.Code, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -140,6 +163,9 @@
 		if err == nil && code != crcode.NoLeader {
 			return code, text, nil
 		}
+		if err != nil && once(line) && !notSent(err) {
+			return 0, "", fmt.Errorf("the answer was lost; read show members before you send the command again: %w", err)
+		}
 		if err == nil {
 			err = errors.New(strings.TrimSpace(text))
 		}
--- a/internal/crcontrol/propose.go
+++ b/internal/crcontrol/propose.go
@@ -31,6 +31,10 @@
 
 // changeMembers adds, removes or replaces a control instance.
 func (c *Control) changeMembers(ctx context.Context, ch crlang.Change) (crprint.Answer, error) {
+	if o := ch.ChangeOptions(); o.ID != "" || o.If != nil {
+		// The log keeps neither the ids nor the versions of its members, so the options could only be ignored.
+		return nil, crcode.New(crcode.BadValue, "a change of members takes neither id nor if; send it without them, and after a lost answer read show members first")
+	}
 	var name string
 	var err error
 	switch x := ch.(type) {
