crnode: give servers that were seen to start a slow start

Cause: the router has a slow start, but the node never told it when a server had started, so a cold server got its full share at once. Change: directory entries carry the instance of the backend server, and it is part of what watchers are told. A node marks a server as started when its incarnation or instance changes, or when it is new in a subset that holds the whole service. Conclusion: slow start is wired. Its effect on latency was not measured.

--- a/internal/crdirectory/core.go
+++ b/internal/crdirectory/core.go
@@ -126,7 +126,7 @@
 
 func valid(e *crwire.DirectoryEntry) error {
 	for _, s := range []string{
-		e.GetNode(), e.GetIncarnation(), e.GetService(), e.GetAddress(), e.GetEntrance(), e.GetDomain(), e.GetRegion(),
+		e.GetNode(), e.GetIncarnation(), e.GetService(), e.GetAddress(), e.GetEntrance(), e.GetDomain(), e.GetRegion(), e.GetInstance(),
 	} {
 		if len(s) > maxNameBytes {
 			return crcode.New(crcode.BadRequest, "a name is longer than %d bytes", maxNameBytes)
--- a/internal/crdirectory/subset.go
+++ b/internal/crdirectory/subset.go
@@ -124,7 +124,7 @@
 func shape(e *crwire.DirectoryEntry) uint64 {
 	var h maphash.Hash
 	h.SetSeed(digestSeed)
-	for _, s := range []string{e.GetIncarnation(), e.GetAddress(), e.GetDomain(), e.GetRegion()} {
+	for _, s := range []string{e.GetIncarnation(), e.GetInstance(), e.GetAddress(), e.GetDomain(), e.GetRegion()} {
 		_, _ = h.WriteString(s)
 		_ = h.WriteByte(0)
 	}
@@ -143,7 +143,7 @@
 func SubsetDigest(entries []*crwire.DirectoryEntry) uint64 {
 	sum := uint64(len(entries))
 	for _, e := range entries {
-		sum += score(e.GetNode()+"\x00"+e.GetIncarnation(), e.GetAddress()) + uint64(e.GetState())<<1 + uint64(b2u(e.GetSuspect()))
+		sum += score(e.GetNode()+"\x00"+e.GetIncarnation()+"\x00"+e.GetInstance(), e.GetAddress()) + uint64(e.GetState())<<1 + uint64(b2u(e.GetSuspect()))
 	}
 	return sum
 }
--- a/internal/crnode/directory.go
+++ b/internal/crnode/directory.go
@@ -43,6 +43,7 @@
 		Node: n.Settings.Name, Incarnation: n.Incarnation, Service: n.Settings.Service, Address: n.Settings.Inner,
 		Entrance: n.Settings.Listen, Domain: n.Settings.Domain, Region: n.Settings.Region,
 		Slots: uint32(a.Slots), Connections: uint32(a.Connections), State: state, Stopping: stopping,
+		Instance: a.Instance,
 	})
 }
 
@@ -66,7 +67,7 @@
 		}
 		targets = append(targets, target{
 			node: e.GetNode(), incarnation: e.GetIncarnation(), address: e.GetAddress(), domain: e.GetDomain(), slots: int(e.GetSlots()),
-			sequence: e.GetSequence(),
+			sequence: e.GetSequence(), instance: e.GetInstance(),
 		})
 	}
 	n.service(name).update(now, targets)
--- a/internal/crnode/service.go
+++ b/internal/crnode/service.go
@@ -34,10 +34,13 @@
 type target struct {
 	node        string
 	incarnation string
-	address     string
-	domain      string
-	slots       int
-	started     time.Time
+	// instance names the start of the backend server.
+	instance string
+	address  string
+	domain   string
+	slots    int
+	// started is when the server was seen to start, zero for one that served before.
+	started time.Time
 	// sequence orders the entries of one incarnation in the directory.
 	sequence uint64
 }
@@ -59,6 +62,8 @@
 	targets map[string]target
 	// left holds the servers that refused new work.
 	left map[string]hold
+	// seen are the starts of servers known so far; nil until the first servers are told.
+	seen map[string]target
 }
 
 // service returns the entry of a service, made at the first call to it.
@@ -86,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targets = make(map[string]target, len(targets))
+	s.markStarts(now, targets)
 	for _, t := range targets {
 		s.targets[t.node] = t
 		if h, ok := s.left[t.node]; ok && (t.incarnation != h.incarnation || t.sequence > h.sequence) {
