crrecord: end hand-overs that wait for lost keepers with a fence

Cause: two record keepers of a group were lost in different rounds of the control leader. It wrote epoch e+2 whose previous epoch e+1 never granted, and the hand-over waited for a majority of epoch e for ever (TestSecondKeeperLostBeforeRepair; TestKeeperLost at times).

Change: the leader asks the members of groups whose epoch is not known to be active (record.state). When an epoch has been configured for 11 s and a majority of its members says that too few of the keepers to seal are live, the next epoch has the same members and a fence. No keeper grants in an earlier epoch by then, and majorities of the two epochs intersect, so a wrong answer can't cause a second run. Without answers there is no fence. Groups that are not known to be active are not changed only to even out load. The model test sets such restarts at random.

A group in this state refuses requests that may not be repeated for about 11 s, then refuses ids up to the fence as too old.

--- a/internal/crcontrol/crcontrol.go
+++ b/internal/crcontrol/crcontrol.go
@@ -38,6 +38,8 @@
 	root      *crspread.Root
 	directory *crdirectory.Server
 	confirm   *confirmation
+	// handovers is used by keeperLoop only.
+	handovers handovers
 
 	wg sync.WaitGroup
 }
--- a/internal/crcontrol/keepers.go
+++ b/internal/crcontrol/keepers.go
@@ -42,7 +42,11 @@
 	if len(members) == 0 || !settled && len(present) > 0 {
 		return nil
 	}
-	changed := crrecord.Assign(crrecord.Assignment{Live: candidates(members), Present: present, NowMS: now.UnixMilli()})
+	live := candidates(members)
+	stuck := c.observeHandovers(ctx, present, live)
+	changed := crrecord.Assign(crrecord.Assignment{
+		Live: live, Present: present, NowMS: time.Now().UnixMilli(), Unstarted: c.handovers.watch.Unstarted(), Stuck: stuck,
+	})
 	if len(changed) == 0 {
 		return nil
 	}
--- a/internal/crkeeper/crkeeper.go
+++ b/internal/crkeeper/crkeeper.go
@@ -23,6 +23,7 @@
 	methodTake     = "record.take"
 	methodSeal     = "record.seal"
 	methodAnswer   = "record.answer"
+	methodState    = "record.state"
 )
 
 const (
@@ -259,7 +260,8 @@
 		if s.err != nil {
 			continue
 		}
-		r.Sealed(s.target, s.out)
+		// The lock is for onState, which reads the hand-over.
+		k.with(func(*crrecord.Keeper) { r.Sealed(s.target, s.out) })
 		if k.install(r) {
 			// The remaining calls end soon, since their context is cancelled; their results are not needed.
 			cancel()
--- a/internal/crkeeper/handlers.go
+++ b/internal/crkeeper/handlers.go
@@ -17,6 +17,7 @@
 	crwire.Handle(m, methodComplete, k.onComplete)
 	crwire.Handle(m, methodRelease, k.onRelease)
 	crwire.Handle(m, methodTake, k.onTake)
+	crwire.Handle(m, methodState, k.onState)
 	crwire.HandleStream(m, methodSeal, k.onSeal)
 }
 
--- a/pkg/crrecord/assign.go
+++ b/pkg/crrecord/assign.go
@@ -32,10 +32,15 @@
 	NowMS int64
 	// Moves bounds the groups changed only to even out load or domains; zero means 16.
 	Moves int
+	// Unstarted are groups not known to grant in their epoch; they are not changed only to even out load or domains.
+	Unstarted map[uint32]Group
+	// Stuck holds the epochs of groups whose hand-over can't end, configured for FenceAfter at least. When all members
+	// are live, the next epoch has the same members and a fence.
+	Stuck map[uint32]uint64
 }
 
 // Assign returns the groups whose membership changes, each in its next epoch. Groups with a lost keeper change first;
-// a fence is set only when no majority of the previous members is live.
+// a fence is set only when no majority of the previous members is live, or when their hand-over can't end.
 func Assign(a Assignment) []Group {
 	p := newPlacement(a)
 	size := min(GroupSize, p.nodes)
@@ -51,11 +56,14 @@
 		old := present[n]
 		kept := p.kept(old.Members)
 		if len(kept) == size && len(old.Members) == size {
+			if old.Epoch != 0 && a.Stuck[n] == old.Epoch {
+				changed[n] = restart(old, a.NowMS)
+			}
 			continue
 		}
 		changed[n] = p.next(n, old, p.fill(kept, size), a.NowMS)
 	}
-	p.even(a.Moves, present, changed, a.NowMS)
+	p.even(a, present, changed)
 	out := slices.Collect(maps.Values(changed))
 	slices.SortFunc(out, func(x, y Group) int { return cmp.Compare(x.Number, y.Number) })
 	return out
@@ -222,14 +230,27 @@
 	return g
 }
 
+// restart returns the next epoch of a group whose hand-over can't end. Its members must be the same: should the old epoch
+// start after all, every majority of one epoch then has a member of every majority of the other, which still holds its
+// records, and the fence covers all epochs before.
+func restart(old Group, nowMS int64) Group {
+	return Group{
+		Number: old.Number, Epoch: old.Epoch + 1, Members: slices.Clone(old.Members), Previous: slices.Clone(old.Members),
+		FenceMS: nowMS + FenceAhead.Milliseconds(),
+	}
+}
+
 // even moves at most moves places of unchanged groups: first out of shared domains, then off loaded nodes.
-func (p *placement) even(moves int, present, changed map[uint32]Group, nowMS int64) {
+func (p *placement) even(a Assignment, present, changed map[uint32]Group) {
+	moves := a.Moves
 	if moves == 0 {
 		moves = defaultMoves
 	}
 	for n := uint32(0); n < Groups && moves > 0; n++ {
 		old, ok := present[n]
-		if _, done := changed[n]; done || !ok {
+		_, done := changed[n]
+		_, unstarted := a.Unstarted[n]
+		if done || unstarted || !ok {
 			continue
 		}
 		members := p.kept(old.Members)
@@ -240,7 +261,7 @@
 		p.load(p.places[keyOf(members[i])], -1)
 		p.load(pl, 1)
 		members[i] = pl.member
-		changed[n] = p.next(n, old, members, nowMS)
+		changed[n] = p.next(n, old, members, a.NowMS)
 		moves--
 	}
 }
--- a/pkg/crrecord/model_test.go
+++ b/pkg/crrecord/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,8 @@
 	won     map[string]int
 	token   Token
 	fenced  bool
+	// since is when the last epoch was configured.
+	since   time.Duration
 	reached map[string]int
 }
 
@@ -285,7 +288,12 @@
 			live = append(live, Candidate{Member: k.keeper.Self, Leaving: m.rnd.IntN(12) == 0})
 		}
 	}
-	for _, g := range Assign(Assignment{Live: live, Present: []Group{cfg}, NowMS: m.now.Milliseconds(), Moves: -1}) {
+	// A wrong Stuck must be harmless once the epoch is old enough, so it is set at random.
+	stuck := make(map[uint32]uint64)
+	if m.now-m.since >= FenceAfter && m.rnd.IntN(4) == 0 {
+		stuck[7] = cfg.Epoch
+	}
+	for _, g := range Assign(Assignment{Live: live, Present: []Group{cfg}, NowMS: m.now.Milliseconds(), Moves: -1, Stuck: stuck}) {
 		if g.Number != 7 {
 			continue
 		}
@@ -294,7 +302,11 @@
 				return
 			}
 			m.reached["fence"]++
+			if stuck[7] != 0 && slices.Equal(g.Members, cfg.Members) {
+				m.reached["restart"]++
+			}
 		}
+		m.since = m.now
 		m.configs = append(m.configs, g)
 	}
 }
@@ -358,12 +370,12 @@
 				first.Members = append(first.Members, m.keepers[i].keeper.Self)
 			}
 		}
-		m.configs = []Group{first}
+		m.configs, m.since = []Group{first}, m.now
 		for range 1500 {
 			m.step()
 		}
 	})
-	for _, want := range []string{"ok", "replayed", "in_progress", "id_too_old", "id_other_body", "claim_failed", "installed", "fence"} {
+	for _, want := range []string{"ok", "replayed", "in_progress", "id_too_old", "id_other_body", "claim_failed", "installed", "fence", "restart"} {
 		if reached[want] == 0 {
 			t.Errorf("the model never reached %s", want)
 		}
--- a/pkg/crrecord/reconfiguration.go
+++ b/pkg/crrecord/reconfiguration.go
@@ -56,6 +56,17 @@
 	return out
 }
 
+// Needs returns how many of the targets must still answer, and the targets. It is one at least until the hand-over is
+// ready, since a majority without complete records and without the membership of their epoch is not enough.
+func (r *Reconfiguration) Needs() (int, []Target) {
+	if r.ready {
+		return 0, nil
+	}
+	targets := r.Targets()
+	answered := len(r.answered) - len(targets)
+	return max(1, Majority(len(r.answered))-answered), targets
+}
+
 // Sealed takes the hand-over of one target; a repeated one is ignored.
 func (r *Reconfiguration) Sealed(t Target, h Handover) {
 	i := indexOf(r.level.Previous, t.Member)
