--- a/internal/crcapacity/call.go
+++ b/internal/crcapacity/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/citronramp/citronramp/internal/crnode"
 	"github.com/citronramp/citronramp/pkg/crrecord"
 )
@@ -51,7 +52,7 @@
 // Run measures and prints the tables.
 func (m Call) Run(ctx context.Context) (err error) {
 	c := &cluster{processes: m.Processes}
-	defer func() { err = errors.Join(err, c.stop()) }()
+	defer func() { err = errs.Combine(err, c.stop()) }()
 	if err := c.start(1, false); err != nil {
 		return err
 	}
@@ -113,7 +114,7 @@
 		if kind == "once" {
 			var err error
 			p.prefix, err = prefixOf(ctx, n.Settings.Listen)
-			failed = errors.Join(failed, err)
+			failed = errs.Combine(failed, err)
 		}
 		return p
 	}
@@ -149,7 +150,7 @@
 	body, err := io.ReadAll(resp.Body)
 	total := time.Since(start)
 	if err != nil || resp.StatusCode != http.StatusOK {
-		return sample{}, errors.Join(err, fmt.Errorf("%s: status %d: %.200s", p.name, resp.StatusCode, body))
+		return sample{}, errs.Combine(err, fmt.Errorf("%s: status %d: %.200s", p.name, resp.StatusCode, body))
 	}
 	text, _, _ := bytes.Cut(body, []byte(" "))
 	ns, err := strconv.ParseInt(string(text), 10, 64)
--- a/internal/crcapacity/cluster.go
+++ b/internal/crcapacity/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/zeebo/errs"
 
 	"github.com/citronramp/citronramp/internal/crcontrol"
 	"github.com/citronramp/citronramp/internal/crnode"
@@ -54,7 +54,7 @@
 func newCluster(controls int, forward bool) (*cluster, error) {
 	c := &cluster{}
 	if err := c.start(controls, forward); err != nil {
-		return nil, errors.Join(err, c.stop())
+		return nil, errs.Combine(err, c.stop())
 	}
 	return c, nil
 }
--- a/internal/crcapacity/control.go
+++ b/internal/crcapacity/control.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // Control measures how fast control instances accept a change, bring it into force and replace a lost leader.
@@ -39,7 +41,7 @@
 	if err = c.services(1); err == nil {
 		err = f(c)
 	}
-	return errors.Join(err, c.stop())
+	return errs.Combine(err, c.stop())
 }
 
 func worth(i int) string { return fmt.Sprintf("set kind s0/read worth %d", 1+i%1000) }
--- a/internal/crcli/bench.go
+++ b/internal/crcli/bench.go
@@ -44,7 +44,7 @@
 	for _, n := range names {
 		p, ok := all[n]
 		if !ok {
-			return nil, fmt.Errorf("no policy %q; allowed is none, fixed or adaptive", n)
+			return nil, failure.New("no policy %q; allowed is none, fixed or adaptive", n)
 		}
 		out = append(out, p)
 	}
@@ -60,7 +60,7 @@
 			fault.Fault = length
 			o, err := fault.Run(ctx)
 			if err != nil {
-				return fmt.Errorf("%s, round %d: %w", crdemo.PolicyName(p), round+1, err)
+				return failure.New("%s, round %d: %w", crdemo.PolicyName(p), round+1, err)
 			}
 			outcomes[p] = append(outcomes[p], o)
 			row = append(row, o)
--- a/internal/crcli/capacity.go
+++ b/internal/crcli/capacity.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"runtime/pprof"
 	"time"
@@ -101,7 +100,7 @@
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if len(c.IntSlice("nodes")) == 0 {
-				return fmt.Errorf("no sizes")
+				return failure.New("no sizes")
 			}
 			m := crcapacity.Cost{
 				Nodes: c.IntSlice("nodes"), Rates: c.IntSlice("rate"), Rounds: c.Int("rounds"), Window: c.Duration("window"),
--- a/internal/crcli/check.go
+++ b/internal/crcli/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/urfave/cli/v3"
@@ -17,7 +16,7 @@
 		ArgsUsage: "FILE...",
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.NArg() == 0 {
-				return errors.New("check needs at least one settings file")
+				return failure.New("check needs at least one settings file")
 			}
 			bad := false
 			for _, path := range c.Args().Slice() {
--- a/internal/crcli/crcli.go
+++ b/internal/crcli/crcli.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 )
 
 // Exit codes of the program.
@@ -19,6 +20,9 @@
 	exitUsage  = 2
 )
 
+// failure is the class of the errors that the program prints before it ends.
+var failure = errs.Class("citronramp")
+
 // streams are the standard streams of the process.
 type streams struct {
 	in       io.Reader
@@ -43,7 +47,7 @@
 	case errors.As(err, &exit):
 		return exit.code
 	}
-	_, _ = fmt.Fprintln(errOut, "citronramp:", err)
+	_, _ = fmt.Fprintln(errOut, failure.Wrap(err))
 	return exitUsage
 }
 
@@ -60,7 +64,7 @@
 			if c.NArg() == 0 {
 				return cli.ShowAppHelp(c)
 			}
-			return fmt.Errorf("no command %q; see citronramp --help", c.Args().First())
+			return failure.New("no command %q; see citronramp --help", c.Args().First())
 		},
 		Commands: []*cli.Command{
 			nodeCommand(s), controlCommand(s), checkCommand(s), dumpCommand(s), ctlCommand(s), demoCommand(s), benchCommand(s),
--- a/internal/crcli/ctl.go
+++ b/internal/crcli/ctl.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -71,7 +70,7 @@
 			out.addrs = []string{set.Control.Operator}
 		}
 	case len(out.addrs) == 0:
-		return nil, errors.New("the settings file has no [control] table; name the operator address with --at")
+		return nil, failure.New("the settings file has no [control] table; name the operator address with --at")
 	default:
 		out.secret = set.Node.Secret
 	}
@@ -164,12 +163,12 @@
 			return code, text, nil
 		}
 		if err != nil && once(line) && !notSent(err) {
-			return 0, "", fmt.Errorf("the answer was lost; read show members before you send the command again: %w", err)
+			return 0, "", failure.New("the answer was lost; read show members before you send the command again: %w", err)
 		}
 		if err == nil {
-			err = errors.New(strings.TrimSpace(text))
+			err = failure.New("%s", strings.TrimSpace(text))
 		}
 		last = err
 	}
-	return 0, "", fmt.Errorf("no control instance took the command; check --at: %w", last)
+	return 0, "", failure.New("no control instance took the command; check --at: %w", last)
 }
--- a/internal/crcli/demo.go
+++ b/internal/crcli/demo.go
@@ -46,7 +46,7 @@
 	case "cooperative":
 		return crdemo.Cooperative(), nil
 	}
-	return crdemo.Scenario{}, fmt.Errorf("no deployment %q; allowed is collective or cooperative", name)
+	return crdemo.Scenario{}, failure.New("no deployment %q; allowed is collective or cooperative", name)
 }
 
 func runDemo(ctx context.Context, s streams, scenario crdemo.Scenario, seed uint64) error {
@@ -57,7 +57,7 @@
 		fault.Warmup, fault.Before, fault.Fault, fault.After = demoWarmup, demoBefore, demoFault, demoAfter
 		o, err := fault.Run(ctx)
 		if err != nil {
-			return fmt.Errorf("%s: %w", crdemo.PolicyName(p), err)
+			return failure.New("%s: %w", crdemo.PolicyName(p), err)
 		}
 		outcomes = append(outcomes, o)
 	}
--- a/internal/crcli/dump.go
+++ b/internal/crcli/dump.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -22,7 +20,7 @@
 		Flags:     []cli.Flag{&cli.BoolFlag{Name: "counters", Usage: "print the counters in place of the state"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.NArg() != 1 {
-				return errors.New("dump needs the admin address of one process, as in 127.0.0.1:7301")
+				return failure.New("dump needs the admin address of one process, as in 127.0.0.1:7301")
 			}
 			path := "/v1/dump"
 			if c.Bool("counters") {
@@ -42,11 +40,11 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fmt.Errorf("the process does not answer; check the address: %w", err)
+		return failure.New("the process does not answer; check the address: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("the process answered %s", resp.Status)
+		return failure.New("the process answered %s", resp.Status)
 	}
 	_, err = io.Copy(out, resp.Body)
 	return err
--- a/internal/crcli/run.go
+++ b/internal/crcli/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 
@@ -27,7 +26,7 @@
 				return err
 			}
 			if set.Node == nil {
-				return errors.New("the settings file has no [node] table")
+				return failure.New("the settings file has no [node] table")
 			}
 			ln, err := listenAll(set.Node.Listen, set.Node.Inner, set.Node.Admin)
 			if err != nil {
@@ -53,7 +52,7 @@
 				return err
 			}
 			if set.Control == nil {
-				return errors.New("the settings file has no [control] table")
+				return failure.New("the settings file has no [control] table")
 			}
 			ln, err := listenAll(set.Control.Inner, set.Control.Operator, set.Control.Admin)
 			if err != nil {
@@ -87,7 +86,7 @@
 			for _, open := range out {
 				_ = open.Close()
 			}
-			return nil, fmt.Errorf("cannot listen on %s; another process may use it: %w", a, err)
+			return nil, failure.New("cannot listen on %s; another process may use it: %w", a, err)
 		}
 		out = append(out, ln)
 	}
@@ -99,6 +98,6 @@
 	if err == nil {
 		return nil
 	}
-	_, _ = fmt.Fprintln(s.err, "citronramp:", err)
+	_, _ = fmt.Fprintln(s.err, failure.Wrap(err))
 	return exitError{exitFailed}
 }
--- a/internal/crdemo/deployment.go
+++ b/internal/crdemo/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/zeebo/errs"
 
 	"github.com/citronramp/citronramp/internal/crcontrol"
 	"github.com/citronramp/citronramp/internal/crnode"
@@ -84,7 +84,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.failed = errors.Join(d.failed, err)
+	d.failed = errs.Combine(d.failed, err)
 }
 
 func (d *Deployment) startControl(ctx context.Context) error {
@@ -166,7 +166,7 @@
 			return nil
 		}
 		if !sleep(ctx, retryInterval) {
-			return errors.Join(ctx.Err(), err)
+			return errs.Combine(ctx.Err(), err)
 		}
 	}
 }
