crnode: count goodput by kind, and bound connections

Cause: the measure "goodput per kind and settlement period" could not be read from a node; without control the demo opened 20,000 files.

--- a/internal/crdemo/deployment.go
+++ b/internal/crdemo/deployment.go
@@ -134,7 +134,7 @@
 		}
 	}
 	srv := &Server{
-		Service: spec.Name, Node: ln[0].Addr().String(), Slots: d.Scenario.slots(spec), Connections: spec.Connections,
+		Service: spec.Name, Node: ln[0].Addr().String(), Slots: d.Scenario.slots(spec), Connections: spec.Connections / d.Scenario.Scale,
 		Kinds: kinds, Ledger: d.Ledger, Instance: name + "-1",
 	}
 	if err := srv.Start(); err != nil {
--- a/internal/crdemo/load.go
+++ b/internal/crdemo/load.go
@@ -44,12 +44,15 @@
 	rnd    *rand.Rand
 }
 
+// callerConns bounds the connections of callers to one node.
+const callerConns = 100
+
 // maxCallers bounds the requests of callers in flight, so that a run without control ends.
 const maxCallers = 20000
 
 // Start makes the HTTP client of the callers.
 func (c *Callers) Start() {
-	c.client = &http.Client{Transport: &http.Transport{MaxIdleConns: 4000, MaxIdleConnsPerHost: 400, MaxConnsPerHost: 400, DisableCompression: true}}
+	c.client = &http.Client{Transport: &http.Transport{MaxIdleConns: 4000, MaxIdleConnsPerHost: callerConns, MaxConnsPerHost: callerConns, DisableCompression: true}}
 	c.rnd = rand.New(rand.NewPCG(c.Seed, 1))
 }
 
--- a/internal/crdemo/server.go
+++ b/internal/crdemo/server.go
@@ -129,7 +129,7 @@
 	s.slowdown.Store(1)
 	s.state.Store(crnode.StateServing)
 	s.slots = make(chan struct{}, s.Slots)
-	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Connections, MaxIdleConns: s.Connections}}
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Connections, MaxConnsPerHost: s.Connections, MaxIdleConns: s.Connections}}
 	s.srv = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 2 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -34,6 +34,9 @@
 // backendIdleConns bounds the kept connections to the backend server; a new one costs about 1 ms.
 const backendIdleConns = 256
 
+// backendConns bounds all connections to the backend server; small ones accept 180 to 600.
+const backendConns = 400
+
 // backend runs requests on the backend server beside this node.
 type backend struct {
 	client   *http.Client
@@ -44,6 +47,7 @@
 	t := &http.Transport{
 		MaxIdleConns:        backendIdleConns,
 		MaxIdleConnsPerHost: backendIdleConns,
+		MaxConnsPerHost:     backendConns,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -57,6 +57,7 @@
 	places    cradmission.Places
 	shedKinds shedCounts
 	runTimes  runTimes
+	goodput   goodput
 	work      workCount
 	arrivals  *crbudget.HomeCounter
 	levels    *cradmission.LevelTable
--- a/internal/crnode/dump.go
+++ b/internal/crnode/dump.go
@@ -142,6 +142,7 @@
 // gauges registers the values that are computed when the counters are read.
 func (n *Node) gauges() {
 	n.Counters.Declare(counterNames...)
+	n.Counters.Gauge("kinds", func() any { return n.goodput.snapshot() })
 	n.Counters.Gauge("requests_in_node", func() any { return n.work.count() })
 	n.Counters.Gauge("gate_limit", func() any { return n.gate.feedback().Limit })
 	n.Counters.Gauge("gate_queued", func() any { return n.gate.feedback().Queued })
