--- a/internal/croperator/croperator.go
+++ b/internal/croperator/croperator.go
@@ -66,7 +66,7 @@
 		return text, err
 	}
 	if code.HTTPStatus() != http.StatusOK {
-		return text, crcode.New(code, "%s: %s", line, strings.TrimSpace(text))
+		return text, fmt.Errorf("%s: %s", line, strings.TrimSpace(text))
 	}
 	return text, nil
 }
