--- a/internal/crcontrol/counters.go
+++ b/internal/crcontrol/counters.go
@@ -4,5 +4,5 @@
 // differ.
 var counterNames = []string{
 	"changes_accepted", "changes_refused", "commands", "commands_forbidden", "confirmations_failed", "duties_failed", "inner_refused",
-	"keeper_assignments_failed", "keeper_groups_changed",
+	"keeper_assignments_failed", "keeper_groups_changed", "keeper_groups_stuck", "keeper_states_failed",
 }
