crlimiter: revert learning expected times from runs that were given up

An expected time that was raised beyond the deadline lets a gate refuse every request of the kind, and nothing corrects it but the few that pass.

--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -102,22 +102,6 @@
 	u.latency += (latency - u.latency) / time.Duration(min(u.n, 16))
 }
 
-// outlastedBy is by how much a run that was given up is taken to be longer than it was watched.
-const outlastedBy = 1.5
-
-// outlasted takes a run that was given up after more than the time expected for its kind as a sign of a longer one.
-// Expected times that learn from whole answers alone stay too short when work slows so much that every run starts too late
-// to end in time, and then no answer comes to correct them.
-func (l *Limiter) outlasted(now time.Time, s Sample) {
-	u := l.usual(now, s.Kind)
-	if s.Latency < u.latency {
-		return
-	}
-	longer := time.Duration(outlastedBy * float64(s.Latency))
-	u.latency += (longer - u.latency) / 4
-	l.service += max(longer-l.service, 0) / 16
-}
-
 // window collects one measurement at one limit.
 type window struct {
 	begin    time.Time // zero until the first event
@@ -174,9 +158,6 @@
 		}
 	case Timeout:
 		w.timeouts++
-		l.outlasted(now, s)
-	case Cancelled:
-		l.outlasted(now, s)
 	}
 	l.evaluate(now)
 }
