--- a/internal/crnode/entrance.go
+++ b/internal/crnode/entrance.go
@@ -50,7 +50,7 @@
 	}
 	a := n.admitted(w, r, id, c)
 	n.Counters.Add("answers_"+a.code.Outcome().String(), 1)
-	n.goodput.count(kindName(kind), uint32(kind.Worth()), a)
+	n.goodput.count(kindName(kind), kind.Worth(), a)
 	if a.code == crcode.Overloaded || a.code == crcode.QueueTimeout {
 		n.shedKinds.add(now, kind.Service(), kind.Name())
 	}
--- a/internal/crnode/worth.go
+++ b/internal/crnode/worth.go
@@ -75,7 +75,7 @@
 	if k.Protected() {
 		class = cradmission.Protected
 	}
-	return cradmission.NewPriority(class, n.runTimes.weigh(kindName(k), uint32(k.Worth())), rootID)
+	return cradmission.NewPriority(class, n.runTimes.weigh(kindName(k), k.Worth()), rootID)
 }
 
 // weigh returns the worth of a kind for the time that it holds places, at least 1.
