--- /dev/null
+++ b/internal/crcoord/crcoord.go
@@ -0,0 +1,171 @@
+// Package crcoord is the coordinator: a process of the core that keeps the routing configuration as whole documents in
+// the replicated log, repairs the membership of that log by itself, feeds nodes and serves their directory.
+package crcoord
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/cradmin"
+	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crdocument"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crreplica"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crlog"
+	"github.com/citronramp/citronramp/pkg/crquorum"
+	"github.com/citronramp/citronramp/pkg/crstore"
+)
+
+// Settings are what a coordinator is told at its start.
+type Settings struct {
+	Name   string
+	Domain string
+	// Address is where the other processes of the system reach this one.
+	Address string
+	DataDir string
+	// Seeds are the addresses of some coordinators; at the very first start all processes are told the same ones.
+	Seeds []string
+	// FirstStart is set only when the whole system starts for the first time, with empty disks.
+	FirstStart bool
+	// Losses is how many coordinators may be lost at once.
+	Losses int
+	// StopTimeout bounds the hand-over of leadership at a planned stop.
+	StopTimeout time.Duration
+}
+
+// Coordinator is one process of the core. Set the exported fields, then call Run once.
+type Coordinator struct {
+	Settings Settings
+	// Inner is the listener at Settings.Address, API the one for the operator with its handler, Admin that of metrics; Admin
+	// may be nil.
+	Inner, API, Admin net.Listener
+	Handler           http.Handler
+	Log               *crevent.Log
+	Counters          cradmin.Counters
+
+	endpoint  *crwire.Endpoint
+	machine   *crdocument.Machine
+	replica   *crreplica.Replica
+	directory *crdirectory.Server
+	peers     peers
+
+	wg sync.WaitGroup
+}
+
+// Run serves until ctx ends, then hands leadership over and stops; an error tells that storage failed.
+func (c *Coordinator) Run(ctx context.Context) error {
+	if err := c.prepare(); err != nil {
+		return err
+	}
+	duties, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 1)
+	c.start(duties, failed)
+	c.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyMember, c.replica.ID, crevent.KeyAddress, c.Settings.Address,
+		crevent.KeyVersion, c.version(), crevent.KeyCount, len(c.replica.Bootstrap))
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	c.Log.Emit(time.Now(), crevent.State, crevent.Stopping, crevent.KeyError, err)
+	c.stop(cancel)
+	c.Log.Emit(time.Now(), crevent.State, crevent.Stopped, crevent.KeyVersion, c.version())
+	return err
+}
+
+// logSnapshotBytes is the size of the log in memory before it is cut; it bounds both memory and the time of a restart.
+const logSnapshotBytes = 4 << 20
+
+func (c *Coordinator) prepare() error {
+	c.endpoint = &crwire.Endpoint{
+		Identity: crwire.Identity{Self: crwire.Peer{
+			Name: c.Settings.Name, Incarnation: time.Now().UTC().Format("20060102T150405.000000000"), Role: crwire.RoleControl,
+		}},
+		Mux:       &crwire.Mux{},
+		OnRefused: func(net.Addr, error) { c.Counters.Add("inner_refused", 1) },
+	}
+	c.machine = crdocument.New()
+	c.peers.init(c.Settings.Address, c.Settings.Seeds)
+	newID := func() (uint64, error) {
+		if crquorum.Founders(c.Settings.Address, c.Settings.Seeds, c.Settings.FirstStart, true) != nil {
+			return crquorum.FirstID(c.Settings.Address), nil
+		}
+		return crstore.RandomID()
+	}
+	report := func(format string, args ...any) {
+		c.Log.Emit(time.Now(), crevent.State, crevent.Message, crevent.KeyDetail, fmt.Sprintf(format, args...))
+	}
+	store, state, err := crstore.Open(crstore.OS{}, c.Settings.DataDir, c.Settings.Name, newID, report)
+	if err != nil {
+		return err
+	}
+	c.replica = &crreplica.Replica{
+		ID: store.Identity().ID, Address: c.Settings.Address, Store: store, State: state, Endpoint: c.endpoint, Machine: c.machine,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: crlog.Config{SnapshotBytes: logSnapshotBytes},
+	}
+	if c.replica.ID == crquorum.FirstID(c.Settings.Address) {
+		c.replica.Bootstrap = crquorum.Founders(c.Settings.Address, c.Settings.Seeds, c.Settings.FirstStart, true)
+	}
+	c.directory = &crdirectory.Server{Name: c.Settings.Name, Endpoint: c.endpoint}
+	c.replica.Register(c.endpoint.Mux)
+	c.directory.Register(c.endpoint.Mux)
+	c.register()
+	c.gauges()
+	return nil
+}
+
+func (c *Coordinator) start(ctx context.Context, failed chan<- error) {
+	c.run(func() { c.ended("inner", c.endpoint.Serve(c.Inner)) })
+	c.run(func() {
+		if err := c.replica.Run(ctx); err != nil && ctx.Err() == nil {
+			failed <- err
+		}
+	})
+	c.run(func() { c.ended("directory", c.directory.Run(ctx)) })
+	c.run(func() { c.presenceLoop(ctx) })
+	c.run(func() { c.repairLoop(ctx) })
+	c.run(func() { c.ended("api", cradmin.Serve(ctx, c.API, c.Handler)) })
+	if c.Admin != nil {
+		c.run(func() {
+			c.ended("admin", cradmin.Serve(ctx, c.Admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
+		})
+	}
+}
+
+func (c *Coordinator) run(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+func (c *Coordinator) ended(duty string, err error) {
+	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+		return
+	}
+	c.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyDetail, duty, crevent.KeyError, err)
+}
+
+func (c *Coordinator) stop(cancel context.CancelFunc) {
+	ctx, done := context.WithTimeout(context.Background(), c.Settings.StopTimeout)
+	defer done()
+	c.replica.Stop(ctx)
+	cancel()
+	_ = c.Inner.Close()
+	c.endpoint.Close()
+	c.wg.Wait()
+}
+
+func (c *Coordinator) version() uint64 {
+	d, _ := c.machine.Current()
+	return d.GetVersion()
+}
--- /dev/null
+++ b/internal/crcoord/document.go
@@ -0,0 +1,176 @@
+package crcoord
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronramp/citronramp/internal/crdocument"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlog"
+)
+
+// Methods of a coordinator; nodes call the exported ones.
+const (
+	MethodHello = "core.hello"
+	MethodWatch = "document.watch"
+	methodPut   = "document.put"
+	methodRead  = "document.read"
+)
+
+// Times of the feed.
+const (
+	// FeedInterval is the time between messages of a feed without news.
+	FeedInterval = 500 * time.Millisecond
+	// confirmWithin is how recently a member must have heard from the leader for its version to count as confirmed; it is
+	// the lease of the log, after which another leader may exist.
+	confirmWithin = time.Second
+	// commandTimeout bounds an operator's change or read; operators try another coordinator after a second.
+	commandTimeout = 900 * time.Millisecond
+	// retryPause is the wait before a command looks for the leader again.
+	retryPause = 20 * time.Millisecond
+)
+
+func (c *Coordinator) register() {
+	mux := c.endpoint.Mux
+	crwire.Handle(mux, MethodHello, c.handleHello)
+	crwire.Handle(mux, methodPut, func(ctx context.Context, _ *crwire.Session, p *crwire.DocumentPut) (*crwire.DocumentVerdict, error) {
+		return c.propose(ctx, p.GetDocument())
+	})
+	crwire.Handle(mux, methodRead, func(ctx context.Context, _ *crwire.Session, _ *crwire.DocumentRead) (*crwire.Document, error) {
+		return c.read(ctx)
+	})
+	crwire.HandleStream(mux, MethodWatch, c.serveFeed)
+}
+
+// Put proposes a document and returns the verdict. The code NoLeader means that the document was not taken,
+// CommandUnknown that it may be accepted yet.
+func (c *Coordinator) Put(ctx context.Context, d *crwire.Document) (crdocument.Verdict, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	v, err := atLeader(ctx, c, c.propose, methodPut, d, &crwire.DocumentPut{Document: d})
+	now := time.Now()
+	if err != nil {
+		c.Log.Emit(now, crevent.State, crevent.ConfigUnclear, crevent.KeyVersion, d.GetVersion(), crevent.KeyBase, d.GetBase(), crevent.KeyError, err)
+		return 0, 0, err
+	}
+	verdict := crdocument.Verdict(v.GetVerdict())
+	event := crevent.ConfigRefused
+	if verdict == crdocument.Accepted || verdict == crdocument.Repeated {
+		event = crevent.ConfigAccepted
+	}
+	c.Log.Emit(now, crevent.State, event, crevent.KeyVersion, d.GetVersion(), crevent.KeyBase, d.GetBase(), crevent.KeyOutcome, verdict,
+		crevent.KeyDetail, v.GetCurrent())
+	return verdict, v.GetCurrent(), nil
+}
+
+// Newest returns the newest document; a coordinator that cannot be sure fails.
+func (c *Coordinator) Newest(ctx context.Context) (*crwire.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return atLeader(ctx, c, func(ctx context.Context, _ *crwire.DocumentRead) (*crwire.Document, error) { return c.read(ctx) },
+		methodRead, &crwire.DocumentRead{}, &crwire.DocumentRead{})
+}
+
+// message is a pointer to a generated message.
+type message[T any] interface {
+	*T
+	proto.Message
+}
+
+// atLeader runs a command here when this coordinator leads, otherwise at the leader, and looks for a leader until ctx
+// ends. An outcome that is unknown ends it: the command may have been taken.
+func atLeader[In any, T any, P message[T]](ctx context.Context, c *Coordinator, local func(context.Context, In) (P, error), method string, in In, remote proto.Message) (P, error) {
+	for {
+		out, err := attempt[In, T, P](ctx, c, local, method, in, remote)
+		if err == nil || crcode.Of(err).Outcome() == crcode.Unknown {
+			return out, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func attempt[In any, T any, P message[T]](ctx context.Context, c *Coordinator, local func(context.Context, In) (P, error), method string, in In, remote proto.Message) (P, error) {
+	st := c.replica.Status()
+	if st.Role == crlog.Leader {
+		return local(ctx, in)
+	}
+	leader := st.LeaderAddress
+	if leader == "" || leader == c.Settings.Address {
+		leader = c.peers.leaderHint()
+	}
+	if leader == "" {
+		return nil, crcode.New(crcode.NoLeader, "no leader is known")
+	}
+	s, err := c.endpoint.Session(ctx, leader)
+	if err != nil {
+		return nil, err
+	}
+	return crwire.Call[T, P](ctx, s, method, remote)
+}
+
+func (c *Coordinator) propose(ctx context.Context, d *crwire.Document) (*crwire.DocumentVerdict, error) {
+	data, err := crdocument.Encode(d)
+	if err != nil {
+		return nil, err
+	}
+	result, _, _, err := c.replica.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	v, ok := result.(*crwire.DocumentVerdict)
+	if !ok {
+		return nil, crcode.New(crcode.Internal, "the document machine gave no verdict")
+	}
+	return v, nil
+}
+
+func (c *Coordinator) read(ctx context.Context) (*crwire.Document, error) {
+	if c.replica.Status().Role != crlog.Leader {
+		return nil, crcode.New(crcode.NoLeader, "this coordinator does not lead")
+	}
+	if _, err := c.replica.ReadIndex(ctx); err != nil {
+		return nil, err
+	}
+	d, _ := c.machine.Current()
+	return d, nil
+}
+
+// confirmed reports whether this coordinator is a member that hears from a leader with a majority.
+func (c *Coordinator) confirmed() bool {
+	s := c.replica.Status()
+	if s.Role == crlog.Leader {
+		return s.Leads
+	}
+	return s.Leader != 0 && s.LastHeardFromLeader+time.Since(s.At) < confirmWithin
+}
+
+// serveFeed sends each new document to a node, and regularly whether the version is confirmed.
+func (c *Coordinator) serveFeed(ctx context.Context, _ *crwire.Session, w *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
+	have := w.GetHave()
+	tick := time.NewTicker(FeedInterval)
+	defer tick.Stop()
+	for {
+		d, changed := c.machine.Current()
+		feed := &crwire.DocumentFeed{Confirmed: c.confirmed(), Version: d.GetVersion(), Voters: c.memberAddresses()}
+		if d.GetVersion() > have {
+			feed.Document, have = d, d.GetVersion()
+		}
+		if err := send(feed); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return crcode.New(crcode.Stopping, "the feed has ended")
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
--- a/internal/crdirectory/client.go
+++ b/internal/crdirectory/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -46,6 +47,7 @@
 	notices  []string
 	subsets  map[string]map[string]*crwire.DirectoryEntry
 	control  string
+	moving   atomic.Bool
 	outbox   *crring.Ring[*crwire.DirectoryNotice]
 	// announced and watched wake the duties when the entry or the watches change.
 	announced, watched chan struct{}
@@ -123,7 +125,7 @@
 	for failures, i := 0, 0; ctx.Err() == nil; i++ {
 		addr := c.Controls[i%len(c.Controls)]
 		if session, err := c.Endpoint.Session(ctx, addr); err == nil {
-			if c.attached(ctx, session, addr) {
+			if c.Attach(ctx, session, addr) {
 				// The next round starts with the preferred control instance.
 				failures, i = 0, len(c.Controls)-1
 			}
@@ -136,9 +138,12 @@
 	return nil
 }
 
-// attached does the node's duties at one control instance until one of them fails; it reports whether the first
-// announcement was accepted.
-func (c *Client) attached(run context.Context, s *crwire.Session, addr string) bool {
+// Attach does the node's duties at one control instance until one of them fails or run ends; it reports whether the
+// first announcement was accepted. A caller that chooses the control instances itself uses it in place of Run.
+func (c *Client) Attach(run context.Context, s *crwire.Session, addr string) bool {
+	c.mu.Lock()
+	c.init()
+	c.mu.Unlock()
 	ctx, cancel := context.WithCancel(run)
 	defer cancel()
 	if err := c.announce(ctx, s); err != nil {
@@ -155,12 +160,15 @@
 	}
 	<-ctx.Done()
 	wg.Wait()
-	if run.Err() != nil {
+	if run.Err() != nil && !c.moving.Load() {
 		c.leave(s)
 	}
 	return true
 }
 
+// Moving tells that the end of the present Attach is a change of the control instance and not a planned stop.
+func (c *Client) Moving(m bool) { c.moving.Store(m) }
+
 func (c *Client) setControl(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/crdirectory/server.go
+++ b/internal/crdirectory/server.go
@@ -187,7 +187,7 @@
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, addr := range s.Peers {
-		wg.Go(func() { s.follow(ctx, addr) })
+		wg.Go(func() { s.Follow(ctx, addr) })
 	}
 	tick := time.NewTicker(ExchangeInterval)
 	defer tick.Stop()
@@ -210,8 +210,9 @@
 	return nil
 }
 
-// follow receives the exchange of one peer and reconnects until ctx ends.
-func (s *Server) follow(ctx context.Context, addr string) {
+// Follow receives the exchange of one peer and reconnects until ctx ends. A control instance that learns of its peers
+// while it runs calls it for each in place of setting Peers.
+func (s *Server) Follow(ctx context.Context, addr string) {
 	for failures := 0; ctx.Err() == nil; failures++ {
 		if session, err := s.Endpoint.Session(ctx, addr); err == nil {
 			s.receive(ctx, session)
--- /dev/null
+++ b/internal/crevent/crevent_test.go
@@ -0,0 +1,103 @@
+package crevent_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crevent"
+)
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// TestLine guards against lines that are no logfmt or lack who wrote them.
+func TestLine(t *testing.T) {
+	out := &buffer{}
+	l := &crevent.Log{Out: out, Process: "n1"}
+	l.Emit(time.Unix(0, 0), crevent.State, crevent.ConfigLearned, crevent.KeyVersion, 7, crevent.KeyReason, "two words")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.Run(ctx)
+	qt.Assert(t, out.String(), qt.Equals, "t=00:00:00.000 event=config_learned process=n1 version=7 reason=\"two words\"\n")
+}
+
+// TestStandingReader guards against an output that nobody reads delaying the process: a pipe without a reader takes
+// nothing, and emitting still returns at once; state lines are dropped last and the drops are counted.
+func TestStandingReader(t *testing.T) {
+	r, w := io.Pipe()
+	l := &crevent.Log{Out: w, Rate: 1 << 20}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		l.Run(ctx)
+		close(done)
+	}()
+	start := time.Now()
+	for range 20_000 {
+		l.Emit(start, crevent.Routine, crevent.Answered, crevent.KeyID, "x")
+	}
+	for range 20_000 {
+		l.Emit(start, crevent.Failure, crevent.Rejected, crevent.KeyID, "x")
+	}
+	l.Emit(start, crevent.State, crevent.ConfigLearned)
+	qt.Assert(t, time.Since(start) < 5*time.Second, qt.IsTrue)
+	dropped := l.Dropped()
+	qt.Assert(t, dropped[crevent.Answered] > 10_000, qt.IsTrue)
+	qt.Assert(t, dropped[crevent.Rejected] > 10_000, qt.IsTrue)
+	qt.Assert(t, dropped[crevent.ConfigLearned], qt.Equals, 0)
+	cancel()
+	_ = r.Close()
+	<-done
+}
+
+// TestRate guards against a flood of lines about requests; lines about states still come.
+func TestRate(t *testing.T) {
+	out := &buffer{}
+	l := &crevent.Log{Out: out, Rate: 10}
+	now := time.Unix(5, 0)
+	for range 100 {
+		l.Emit(now, crevent.Failure, crevent.Rejected)
+		l.Emit(now, crevent.State, crevent.LeaderChanged)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.Run(ctx)
+	qt.Assert(t, strings.Count(out.String(), "event=rejected"), qt.Equals, 10)
+	qt.Assert(t, strings.Count(out.String(), "event=leader_changed"), qt.Equals, 100)
+	qt.Assert(t, strings.Contains(out.String(), "event=lines_dropped process= of=rejected count=90"), qt.IsTrue, qt.Commentf("%s", out))
+}
+
+// TestSampled guards against processes that log different requests.
+func TestSampled(t *testing.T) {
+	a, b := &crevent.Log{}, &crevent.Log{}
+	n := 0
+	for i := range 10_000 {
+		id := strings.Repeat("f", i%7) + time.Duration(i).String()
+		qt.Assert(t, a.Sampled(id), qt.Equals, b.Sampled(id))
+		if a.Sampled(id) {
+			n++
+		}
+	}
+	qt.Assert(t, n > 50 && n < 400, qt.IsTrue, qt.Commentf("%d", n))
+}
--- /dev/null
+++ b/internal/crevent/vocabulary.go
@@ -0,0 +1,88 @@
+package crevent
+
+// Event names what a line tells.
+type Event string
+
+// Events of the process.
+const (
+	Started        Event = "started"
+	Stopping       Event = "stopping"
+	Stopped        Event = "stopped"
+	Reloaded       Event = "reloaded"
+	DependencyLost Event = "dependency_lost"
+	DependencyBack Event = "dependency_back"
+	LinesDropped   Event = "lines_dropped"
+	Message        Event = "message"
+)
+
+// Events of a request at a node.
+const (
+	Routed    Event = "routed"
+	Placed    Event = "placed"
+	Waited    Event = "waited"
+	Rejected  Event = "rejected"
+	SentAgain Event = "sent_again"
+	Cancelled Event = "cancelled"
+	Answered  Event = "answered"
+	Cut       Event = "cut"
+	Ran       Event = "ran"
+)
+
+// Events of what a process believes.
+const (
+	ServerJoined   Event = "server_joined"
+	ServerBack     Event = "server_back"
+	ServerDraining Event = "server_draining"
+	ServerGone     Event = "server_gone"
+	ServerEjected  Event = "server_ejected"
+	ServersChanged Event = "servers_changed"
+	ConfigLearned  Event = "config_learned"
+	ConfigAccepted Event = "config_accepted"
+	ConfigRefused  Event = "config_refused"
+	ConfigUnclear  Event = "config_unclear"
+	LeaderChanged  Event = "leader_changed"
+	MemberChange   Event = "member_change"
+	PeerLost       Event = "peer_lost"
+	PeerBack       Event = "peer_back"
+	ShareChanged   Event = "share_changed"
+	RequestBlocked Event = "request_blocked"
+)
+
+// Keys of the values on a line.
+const (
+	KeyTime     = "t"
+	KeyEvent    = "event"
+	KeyProcess  = "process"
+	KeyID       = "id"
+	KeyRoute    = "route"
+	KeyService  = "service"
+	KeyServer   = "server"
+	KeyNode     = "node"
+	KeyPeer     = "peer"
+	KeyReason   = "reason"
+	KeyCode     = "code"
+	KeyStatus   = "status"
+	KeyOutcome  = "outcome"
+	KeyVersion  = "version"
+	KeyBase     = "base"
+	KeyAge      = "age"
+	KeyLeft     = "left"
+	KeyWait     = "wait"
+	KeyTook     = "took"
+	KeyTry      = "try"
+	KeyQueue    = "queue"
+	KeyRunning  = "running"
+	KeySlots    = "slots"
+	KeyPriority = "priority"
+	KeyShare    = "share"
+	KeyCaller   = "caller"
+	KeyRetryIn  = "retry_in"
+	KeyCount    = "count"
+	KeyOf       = "of"
+	KeyTerm     = "term"
+	KeyMember   = "member"
+	KeyAction   = "action"
+	KeyError    = "err"
+	KeyAddress  = "address"
+	KeyDetail   = "detail"
+)
--- /dev/null
+++ b/internal/crforward/call.go
@@ -0,0 +1,146 @@
+package crforward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+// call is one request on its way to a backend server.
+type call struct {
+	id string
+	// route names the kind of work, service the servers that may run it.
+	route, service       string
+	method, target, host string
+	header               http.Header
+	body                 io.Reader
+	length               int64
+	// replay holds the whole body when it was small enough to keep.
+	replay []byte
+	kept   bool
+	// deadline is when the client or the route gives up.
+	deadline time.Time
+	rank     cradmission.Priority
+	// caller is the service of the instance where the request began.
+	caller string
+	// once forbids a second run; deeper marks a call that a running request makes.
+	once, deeper bool
+}
+
+// rewind makes the body readable again from its start; it reports false when the body is gone.
+func (c *call) rewind() bool {
+	if c.length == 0 {
+		return true
+	}
+	if c.kept {
+		c.body = bytes.NewReader(c.replay)
+	}
+	return c.kept
+}
+
+// reply is the end of a call: a server's answer when code is OK, otherwise the reason why there is none.
+type reply struct {
+	code   crcode.Code
+	detail string
+	status int
+	header http.Header
+	length int64
+	body   io.Reader
+	// whole tells that body holds the complete answer in memory.
+	whole bool
+	load  *crrouter.Feedback
+	// retryIn is when there may be room; waited and took are the times in the gate's queue and at the server.
+	retryIn      time.Duration
+	waited, took time.Duration
+	pressure     string
+	close        func()
+}
+
+func refuse(code crcode.Code, detail string) *reply { return &reply{code: code, detail: detail} }
+
+// end releases what the reply holds.
+func (r *reply) end() {
+	if r.close != nil {
+		r.close()
+		r.close = nil
+	}
+}
+
+// wholeBytes is the size up to which an answer is read whole before any of it is passed on, so that a broken one can be
+// replaced by an error or another server's answer; answers of usual services fit.
+const wholeBytes = 64 << 10
+
+// errBroken means that an answer ended before its end.
+var errBroken = errors.New("the answer ended early")
+
+// readWhole reads a small answer to its end; a large one is left as a stream.
+func readWhole(body io.Reader) (r io.Reader, length int64, whole bool, err error) {
+	buf, err := io.ReadAll(io.LimitReader(body, wholeBytes+1))
+	if err != nil {
+		return nil, 0, false, errors.Join(errBroken, err)
+	}
+	if len(buf) <= wholeBytes {
+		return bytes.NewReader(buf), int64(len(buf)), true, nil
+	}
+	return io.MultiReader(bytes.NewReader(buf), body), -1, false, nil
+}
+
+// Bounds of kept request bodies.
+const (
+	// keptBodyBytes is the largest body that is kept in memory so that it can be sent to a second server.
+	keptBodyBytes = 512 << 10
+	// bodyMemoryShare is the part of the memory, one in so many, that kept bodies may take; the runtime needs about as much
+	// again while it collects, and answers and connections need the rest.
+	bodyMemoryShare = 8
+)
+
+// bodies bounds the memory of kept bodies.
+type bodies struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// take reserves room and reports whether there was any.
+func (b *bodies) take(n int64) bool {
+	if b.used.Add(n) <= b.limit {
+		return true
+	}
+	b.used.Add(-n)
+	return false
+}
+
+func (b *bodies) give(n int64) { b.used.Add(-n) }
+
+// keep reads the body of a call into memory when it is small; release gives the room back. An error is one of reading.
+func (b *bodies) keep(c *call) (release func(), err error) {
+	release = func() {}
+	if c.length == 0 {
+		return release, nil
+	}
+	room := c.length
+	if room < 0 {
+		room = keptBodyBytes
+	}
+	if room > keptBodyBytes || !b.take(room) {
+		return release, nil
+	}
+	release = func() { b.give(room) }
+	buf, err := io.ReadAll(io.LimitReader(c.body, room+1))
+	if err != nil {
+		return release, err
+	}
+	if c.length < 0 && int64(len(buf)) > keptBodyBytes {
+		c.body = io.MultiReader(bytes.NewReader(buf), c.body)
+		return release, nil
+	}
+	c.replay, c.kept, c.length = buf, true, int64(len(buf))
+	c.rewind()
+	return release, nil
+}
--- /dev/null
+++ b/internal/crforward/dump.go
@@ -0,0 +1,56 @@
+package crforward
+
+import (
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crlimiter"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+// Dump returns the state of the node.
+func (n *Node) Dump(now time.Time) any {
+	type serviceView struct {
+		Name    string          `json:"name"`
+		Servers []crrouter.View `json:"servers"`
+		Denied  uint64          `json:"retries_denied"`
+	}
+	out := struct {
+		Name     string          `json:"name"`
+		At       time.Time       `json:"at"`
+		Version  uint64          `json:"version"`
+		Control  string          `json:"control"`
+		Stopping bool            `json:"stopping"`
+		InFlight int64           `json:"in_flight"`
+		Server   *registration   `json:"server"`
+		Limit    *crlimiter.View `json:"limit"`
+		Queued   int             `json:"queued"`
+		Services []serviceView   `json:"services"`
+	}{Name: n.Settings.Name, At: now, Control: n.directory.Control(), Stopping: n.stopping.Load(), InFlight: n.inFlight.Load()}
+	if t := n.table.Load(); t != nil {
+		out.Version = t.Version()
+	}
+	n.gate.mu.Lock()
+	out.Server = n.gate.reg
+	if n.gate.limiter != nil {
+		v := n.gate.limiter.View()
+		out.Limit, out.Queued = &v, n.gate.queue.Len()
+	}
+	n.gate.mu.Unlock()
+	n.services.mu.Lock()
+	for _, s := range n.services.all {
+		out.Services = append(out.Services, serviceView{s.name, s.router.View(now), s.retries.Denied()})
+	}
+	n.services.mu.Unlock()
+	return out
+}
+
+func (n *Node) gauges() {
+	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "coordinator_unreachable", "server_connections", "documents_unreadable")
+	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
+	n.Counters.Gauge("config_version", func() any {
+		if t := n.table.Load(); t != nil {
+			return t.Version()
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/crforward/entrance.go
@@ -0,0 +1,275 @@
+package crforward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crroute"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+// Bounds of a request at the entrance.
+const (
+	// defaultLeft is the time of a client that names none.
+	defaultLeft = 30 * time.Second
+	// maxPlaces is how many gates are asked; gates that refuse cost two short messages each and no server's time.
+	maxPlaces = 4
+	// topWorth is above every priority number of a route, so that a smaller number gives a higher rank.
+	topWorth = 1 << 16
+)
+
+// serveEntrance takes the requests of clients and of the backend server on this instance.
+func (n *Node) serveEntrance(w http.ResponseWriter, req *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	now := time.Now()
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := n.table.Load()
+	if table == nil {
+		n.reject(w, nil, refuse(crcode.NotConfigured, ""), retryUnconfigured)
+		return
+	}
+	path, _, _ := strings.Cut(req.RequestURI, "?")
+	route := table.Match(req.Host, path)
+	if route == nil {
+		n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, refuse(crcode.UnknownService, "no route"), 0)
+		return
+	}
+	if limit := table.Limits().BodyBytes; limit > 0 {
+		if req.ContentLength > limit {
+			n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, refuse(crcode.BodyTooLarge, ""), 0)
+			return
+		}
+		if req.ContentLength < 0 {
+			req.Body = http.MaxBytesReader(w, req.Body, limit)
+		}
+	}
+	c := n.callOf(req, route, now)
+	n.serveCall(w, req, c, route, now)
+}
+
+// callOf builds the call of a request.
+func (n *Node) callOf(req *http.Request, route *crroute.Route, now time.Time) *call {
+	names := n.Settings.Headers
+	left, ok := milliseconds(req.Header.Get(names.Timeout))
+	if !ok {
+		left = defaultLeft
+	}
+	c := &call{
+		id: req.Header.Get(names.RequestID), route: route.Name, service: route.Service(rand.Float64()), method: req.Method,
+		target: req.RequestURI, host: req.Host, header: req.Header, body: req.Body, length: req.ContentLength,
+		deadline: now.Add(min(left, route.Timeout)), caller: n.Settings.Service, once: !route.Repeatable(),
+		deeper: n.fromServer(req),
+	}
+	class := cradmission.Ordinary
+	if c.deeper {
+		// The work above is lost with its call.
+		class = cradmission.Protected
+	}
+	c.rank = cradmission.NewPriority(class, uint32(topWorth-min(max(route.Priority, 0), topWorth-1)), c.id)
+	return c
+}
+
+// fromServer reports whether the backend server on this instance sent the request.
+func (n *Node) fromServer(req *http.Request) bool {
+	host, _, err := net.SplitHostPort(req.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	own, _, err := net.SplitHostPort(n.Settings.Address)
+	return err == nil && (host == own || net.ParseIP(host).IsLoopback())
+}
+
+func (n *Node) serveCall(w http.ResponseWriter, req *http.Request, c *call, route *crroute.Route, arrived time.Time) {
+	release, err := n.bodies.keep(c)
+	defer release()
+	if err != nil {
+		// The client has gone or cut its body short.
+		panic(http.ErrAbortHandler)
+	}
+	r, tries := n.place(req.Context(), c, route)
+	defer r.end()
+	n.logAnswer(c, r, tries, arrived)
+	if r.code == crcode.OK {
+		n.Counters.Add("answered", 1)
+		n.finishBody(w, c)
+		writeAnswer(w, r)
+		return
+	}
+	if r.code == crcode.Cancelled || r.code == crcode.CancelledRun {
+		panic(http.ErrAbortHandler)
+	}
+	n.finishBody(w, c)
+	n.reject(w, c, r, n.retryIn(r, c.deadline.Sub(time.Now())))
+}
+
+// finishBody closes the connection after an answer that comes before a streamed body is in: what follows would be taken
+// for the next request.
+func (n *Node) finishBody(w http.ResponseWriter, c *call) {
+	if c.kept || c.length == 0 {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	// Ends a read of the body that another goroutine may wait in.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
+
+// reject answers a request that no server answered.
+func (n *Node) reject(w http.ResponseWriter, c *call, r *reply, retryIn time.Duration) {
+	n.Counters.Add("failed_"+r.code.String(), 1)
+	n.writeFailure(w, c, r, retryIn)
+}
+
+// place sends the call to one server after another until one answers or nothing more is allowed.
+func (n *Node) place(ctx context.Context, c *call, route *crroute.Route) (r *reply, tries int) {
+	s := n.services.get(c.service)
+	s.retries.Succeeded()
+	var tried []string
+	sent := 0
+	for tries = 1; ; tries++ {
+		now := time.Now()
+		server, err := s.router.Pick(now, crrouter.Request{Tried: tried, NoProbe: c.once || tries > 1})
+		if err != nil {
+			if r == nil {
+				r = refuse(crcode.Of(err), err.Error())
+			}
+			return r, tries
+		}
+		last := r
+		r = n.send(ctx, s.address(server.ID), c)
+		s.router.Done(time.Now(), server.ID, routerResult(r, time.Since(now)))
+		n.learn(c, r)
+		if r.code == crcode.OK && (r.status < 500 || c.once) {
+			return r, tries
+		}
+		tried = append(tried, server.ID)
+		if reached(r) {
+			sent++
+		}
+		if !n.again(ctx, s, c, route, r, tries, sent) {
+			return worse(last, r), tries
+		}
+		r.end()
+		if !c.rewind() {
+			return r, tries
+		}
+	}
+}
+
+// reached reports whether the call arrived at a server.
+func reached(r *reply) bool {
+	return r.code == crcode.OK || r.code == crcode.ServerRefused || r.code.Outcome() != crcode.NotRun
+}
+
+// again decides whether the call is sent to a further server; it counts repeats that reach servers.
+func (n *Node) again(ctx context.Context, s *service, c *call, route *crroute.Route, r *reply, tries, sent int) bool {
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil || tries >= maxPlaces || !now.Before(c.deadline):
+		return false
+	case c.length != 0 && !c.kept:
+		return false
+	case c.once && r.code.Outcome() != crcode.NotRun:
+		return false
+	case r.code == crcode.DeadlineExpired || r.code == crcode.QueueTimeout:
+		return false
+	case sent == 0:
+		// No server has seen the call, so another gate costs no repeat.
+		return true
+	case sent >= route.MaxAttempts:
+		return false
+	}
+	if !s.retries.Allow(now) {
+		n.Counters.Add("retries_denied", 1)
+		return false
+	}
+	n.Counters.Add("retries", 1)
+	n.Log.Emit(now, crevent.Failure, crevent.SentAgain, crevent.KeyID, c.id, crevent.KeyService, c.service, crevent.KeyTry, tries,
+		crevent.KeyCode, r.code, crevent.KeyStatus, r.status, crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond))
+	return true
+}
+
+// worse returns the end to report after several sends: a later refusal must not hide that an earlier send may have run.
+func worse(earlier, last *reply) *reply {
+	if earlier != nil && last.code != crcode.OK && last.code.Outcome() == crcode.NotRun && earlier.code.Outcome() != crcode.NotRun {
+		return earlier
+	}
+	return last
+}
+
+func routerResult(r *reply, took time.Duration) crrouter.Result {
+	res := crrouter.Result{Latency: took, Feedback: r.load}
+	if r.took > 0 {
+		res.Latency = r.took
+	}
+	switch {
+	case r.code == crcode.OK && r.status < 500:
+		res.Kind = crrouter.OK
+	case r.code == crcode.OK:
+		res.Kind = crrouter.Failed
+	case r.code == crcode.Cancelled || r.code == crcode.CancelledRun:
+		res.Kind = crrouter.Cancelled
+	case r.code == crcode.NoServer || r.code == crcode.StaleIncarnation:
+		res.Kind = crrouter.Unreachable
+	case r.code == crcode.DeadlineRunning:
+		res.Kind = crrouter.TimedOut
+	case r.code.Outcome() == crcode.NotRun:
+		res.Kind = crrouter.Refused
+	default:
+		res.Kind = crrouter.Failed
+	}
+	return res
+}
+
+// Bounds of the hint when to come back.
+const (
+	// retryUnconfigured is the hint of a node that has no configuration yet; one comes within a second of its start.
+	retryUnconfigured = 500 * time.Millisecond
+	// retryMin and retryMax bound other hints: below, clients only add load; above, there is room again long before.
+	retryMin = 200 * time.Millisecond
+	retryMax = 2 * time.Second
+)
+
+// retryIn returns when a refused client should come back: when there may be room, spread so that clients do not return
+// together, and within a third of the time they have left.
+func (n *Node) retryIn(r *reply, left time.Duration) time.Duration {
+	d := min(max(r.retryIn, retryMin), retryMax)
+	d = d/2 + jitter(d)
+	if left > 0 {
+		d = min(d, left/3)
+	}
+	return d
+}
+
+// logAnswer tells how a request ended at the entrance.
+func (n *Node) logAnswer(c *call, r *reply, tries int, arrived time.Time) {
+	now := time.Now()
+	class, event := crevent.Failure, crevent.Answered
+	switch {
+	case r.code == crcode.OK && r.status < 500:
+		if !n.Log.Sampled(c.id) {
+			return
+		}
+		class = crevent.Routine
+	case r.code == crcode.Cancelled || r.code == crcode.CancelledRun:
+		event = crevent.Cancelled
+	case r.code.Outcome() == crcode.NotRun:
+		event = crevent.Rejected
+	}
+	var version uint64
+	if t := n.table.Load(); t != nil {
+		version = t.Version()
+	}
+	n.Log.Emit(now, class, event, crevent.KeyID, c.id, crevent.KeyRoute, c.route, crevent.KeyService, c.service, crevent.KeyCaller, c.caller,
+		crevent.KeyCode, r.code, crevent.KeyStatus, r.status, crevent.KeyTry, tries, crevent.KeyTook, now.Sub(arrived).Round(time.Millisecond),
+		crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond), crevent.KeyVersion, version, crevent.KeyDetail, r.detail)
+}
--- /dev/null
+++ b/internal/crforward/follow.go
@@ -0,0 +1,200 @@
+package crforward
+
+import (
+	"context"
+	"io"
+	"log"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crcoord"
+	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// discardLog drops what the HTTP servers report about single connections of clients.
+var discardLog = log.New(io.Discard, "", 0)
+
+// Times of a node's tie to a coordinator.
+const (
+	// feedSilence is how long a feed may be silent, or unconfirmed, before another coordinator is asked; three messages
+	// are due in that time.
+	feedSilence = 3 * crcoord.FeedInterval
+	// helloLimit bounds the question who belongs to the core.
+	helloLimit = time.Second
+	// roundPause is the mean wait after all known coordinators failed.
+	roundPause = 300 * time.Millisecond
+	// unconfirmedAfter is how long a node looks for a confirmed feed before it takes documents from one without a leader.
+	unconfirmedAfter = time.Second
+)
+
+// follower knows where the coordinators are.
+type follower struct {
+	mu     sync.Mutex
+	named  []string
+	voters []string
+	others []string
+}
+
+// seeds replaces the coordinators that the settings name.
+func (f *follower) seeds(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named = slices.Clone(addresses)
+}
+
+func (f *follower) learn(voters, others []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(voters) > 0 {
+		f.voters = voters
+	}
+	if len(others) > 0 {
+		f.others = others
+	}
+}
+
+// round returns the addresses to try: members in random order, then others that are known.
+func (f *follower) round() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	voters := slices.Clone(f.voters)
+	rest := slices.Concat(f.named, f.others)
+	rand.Shuffle(len(voters), func(i, j int) { voters[i], voters[j] = voters[j], voters[i] })
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	var out []string
+	for _, a := range slices.Concat(voters, rest) {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// follow keeps the node tied to one coordinator until ctx ends.
+func (n *Node) follow(ctx context.Context) {
+	lost := time.Now()
+	for ctx.Err() == nil {
+		for _, a := range n.follower.round() {
+			if ctx.Err() != nil {
+				return
+			}
+			if n.attach(ctx, a, time.Since(lost) > unconfirmedAfter) {
+				lost = time.Now()
+				break
+			}
+		}
+		sleep(ctx, roundPause/2+jitter(roundPause))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// attach follows one coordinator until it falls silent; it reports whether a confirmed feed was seen.
+func (n *Node) attach(ctx context.Context, address string, takeAny bool) bool {
+	hello, cancel := context.WithTimeout(ctx, helloLimit)
+	defer cancel()
+	s, err := n.endpoint.Session(hello, address)
+	if err != nil {
+		n.Counters.Add("coordinator_unreachable", 1)
+		return false
+	}
+	view, err := crwire.Call[crwire.CoreView](hello, s, crcoord.MethodHello, &crwire.CoreHello{Name: n.Settings.Name})
+	if err != nil {
+		n.Counters.Add("coordinator_unreachable", 1)
+		return false
+	}
+	n.follower.learn(view.GetVoters(), view.GetOthers())
+	if !view.GetConfirmed() && !takeAny {
+		return false
+	}
+	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, address, crevent.KeyOutcome, view.GetConfirmed())
+	confirmed, err := n.feed(ctx, s, address)
+	if ctx.Err() == nil {
+		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, address, crevent.KeyError, err)
+	}
+	return confirmed
+}
+
+// feed takes documents and the directory from one coordinator.
+func (n *Node) feed(ctx context.Context, s *crwire.Session, address string) (confirmed bool, err error) {
+	tied, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer n.directory.Moving(false)
+	wg.Go(func() {
+		defer cancel()
+		n.directory.Attach(tied, s, address)
+	})
+	silent := time.AfterFunc(feedSilence, cancel)
+	defer silent.Stop()
+	n.directory.Moving(true)
+	defer cancel()
+	var have uint64
+	if t := n.table.Load(); t != nil {
+		have = t.Version()
+	}
+	err = crwire.Receive(tied, s, crcoord.MethodWatch, &crwire.DocumentWatch{Have: have}, func(f *crwire.DocumentFeed) error {
+		n.follower.learn(f.GetVoters(), nil)
+		n.take(f)
+		if f.GetConfirmed() {
+			confirmed = true
+			silent.Reset(feedSilence)
+		}
+		return nil
+	})
+	if ctx.Err() != nil {
+		n.directory.Moving(false)
+	}
+	return confirmed, err
+}
+
+// take puts a newer document in force; an older one is never taken.
+func (n *Node) take(f *crwire.DocumentFeed) {
+	d := f.GetDocument()
+	old := n.table.Load()
+	if d == nil || d.GetVersion() == 0 || old != nil && d.GetVersion() <= old.Version() {
+		return
+	}
+	t, err := n.Parse(d)
+	now := time.Now()
+	if err != nil {
+		n.Counters.Add("documents_unreadable", 1)
+		n.Log.Emit(now, crevent.State, crevent.ConfigRefused, crevent.KeyVersion, d.GetVersion(), crevent.KeyCode, crcode.Of(err), crevent.KeyError, err)
+		return
+	}
+	n.table.Store(t)
+	n.directory.Watch(t.Services(), nil)
+	n.Log.Emit(now, crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, f.GetConfirmed())
+}
+
+// announce tells the directory of this node and its backend server.
+func (n *Node) announce() {
+	e := &crwire.DirectoryEntry{
+		Node: n.Settings.Name, Incarnation: n.endpoint.Identity.Self.Incarnation, Service: n.Settings.Service,
+		Address: n.Settings.Address, Entrance: n.Settings.Address, Domain: n.Settings.Domain, Region: n.Settings.Region,
+		State: crdirectory.Starting, Stopping: n.stopping.Load(),
+	}
+	if s, ok := n.gate.registered(); ok {
+		e.Instance, e.Slots, e.Connections, e.State = s.instance(), uint32(s.Slots), uint32(s.Slots), crdirectory.Serving
+		if s.Draining || n.stopping.Load() {
+			e.State = crdirectory.Leaving
+		}
+	}
+	n.directory.Announce(e)
+}
+
+// SetSeeds replaces the coordinators that the settings name.
+func (n *Node) SetSeeds(seeds []string) { n.follower.seeds(seeds) }
--- /dev/null
+++ b/internal/crforward/gate.go
@@ -0,0 +1,393 @@
+package crforward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crexchange"
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crlimiter"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+// Times of a gate.
+const (
+	// serverSlack is how long after the deadline a server's own answer is still waited for.
+	serverSlack = 60 * time.Millisecond
+	// heartbeatsMissed is how many reports a server may miss before it counts as gone; one may come seconds late.
+	heartbeatsMissed = 4
+	// downFor is how long a server that refused a connection gets no work; a started server reports itself earlier.
+	downFor = 250 * time.Millisecond
+	// queuePerSlot bounds the queue by the slots; what waits longer than that cannot be in time.
+	queuePerSlot = 4
+	// freshIdle is how long an idle connection may be used for a request that must not be repeated: a server that closes
+	// it at the same moment leaves unknown whether the request ran.
+	maxServerIdle = 8 * time.Second
+	// watchInterval is the time between looks at the age of the last report.
+	watchInterval = 250 * time.Millisecond
+)
+
+// gate lets requests run on the backend server of this instance.
+type gate struct {
+	node *Node
+
+	mu      sync.Mutex
+	reg     *registration
+	limiter *crlimiter.Limiter
+	queue   *cradmission.Queue
+	client  *crexchange.Client
+	// downUntil ends the time in which the server is not tried.
+	downUntil time.Time
+	missed    bool
+}
+
+// waiter is a queued call.
+type waiter struct {
+	granted chan crcode.Code
+}
+
+func newGate(n *Node) *gate { return &gate{node: n} }
+
+// report takes a report of the server; a new lifetime starts with nothing known.
+func (g *gate) report(now time.Time, r Report) registrationVerdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next, verdict := judgeReport(now, g.reg, r)
+	back := g.missed
+	g.reg = next
+	switch verdict {
+	case reportJoined:
+		g.renew(r)
+	case reportRenewed, reportDrains:
+		g.limiter.Announce(now, r.Slots)
+		if next.Draining {
+			g.empty(crcode.Leaving)
+		}
+		if back {
+			verdict = reportJoined
+		}
+	case reportStale:
+		return verdict
+	}
+	g.missed, g.downUntil = false, time.Time{}
+	return verdict
+}
+
+// renew makes the parts for a new lifetime; calls that wait for the old one are refused. The lock is held.
+func (g *gate) renew(r Report) {
+	if g.client != nil {
+		g.client.Close()
+	}
+	g.empty(crcode.Leaving)
+	g.limiter = &crlimiter.Limiter{Slots: r.Slots, Min: r.Slots, Max: r.Slots}
+	g.queue = &cradmission.Queue{Length: queuePerSlot * r.Slots, MaxWait: time.Minute}
+	g.client = &crexchange.Client{
+		Address: r.Address, MaxIdle: r.Slots, IdleTimeout: maxServerIdle, Owns: g.node.owns,
+		OnDial: func() { g.node.Counters.Add("server_connections", 1) },
+	}
+}
+
+// empty refuses everything that waits. The lock is held.
+func (g *gate) empty(code crcode.Code) {
+	if g.queue == nil {
+		return
+	}
+	now := time.Now()
+	for {
+		it, ok := g.queue.Pop(now)
+		if !ok {
+			break
+		}
+		it.Value.(*waiter).granted <- code
+	}
+	for _, it := range g.queue.Expire(now) {
+		it.Value.(*waiter).granted <- crcode.QueueTimeout
+	}
+}
+
+// leave takes the word of a server that it leaves and reports whether that is news.
+func (g *gate) leave(id string, born time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reg == nil || g.reg.ID != id || g.reg.Draining || born.UnixMilli() > 0 && born.Before(g.reg.Born) {
+		return false
+	}
+	next := *g.reg
+	next.Draining = true
+	g.reg = &next
+	g.empty(crcode.Leaving)
+	return true
+}
+
+// registered returns the server that the gate works for, unless it has missed its reports.
+func (g *gate) registered() (registration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reg == nil || g.missed {
+		return registration{}, false
+	}
+	return *g.reg, true
+}
+
+// watch ends the registration of a server that no longer reports.
+func (g *gate) watch(ctx context.Context) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			g.mu.Lock()
+			gone := g.reg != nil && !g.missed && now.Sub(g.reg.heard) > heartbeatsMissed*g.node.Settings.Heartbeat
+			if gone {
+				g.missed = true
+				g.empty(crcode.NoServer)
+			}
+			g.mu.Unlock()
+			if gone {
+				g.node.Log.Emit(now, crevent.State, crevent.ServerGone, crevent.KeyReason, "reports_missed")
+				g.node.announce()
+			}
+		}
+	}
+}
+
+// lane is what one admitted call uses.
+type lane struct {
+	reg     registration
+	client  *crexchange.Client
+	limiter *crlimiter.Limiter
+}
+
+// admit waits until the call may run; the code is OK then.
+func (g *gate) admit(ctx context.Context, c *call) (lane, crcode.Code) {
+	now := time.Now()
+	g.mu.Lock()
+	if code := g.closed(now, c); code != crcode.OK {
+		g.mu.Unlock()
+		return lane{}, code
+	}
+	l := lane{*g.reg, g.client, g.limiter}
+	if g.queue.Len() == 0 && g.limiter.Acquire(now) {
+		g.mu.Unlock()
+		return l, crcode.OK
+	}
+	left := c.deadline.Sub(now)
+	if expected := g.limiter.Expected(c.route, g.queue.Ahead(c.rank)); expected > left {
+		g.mu.Unlock()
+		return l, crcode.Overloaded
+	}
+	w := &waiter{granted: make(chan crcode.Code, 1)}
+	it := &cradmission.Item{Priority: c.rank, Deadline: c.deadline.Add(-g.limiter.RunTime(c.route)), Value: w}
+	if refused := g.queue.Push(now, it); refused != nil {
+		refused.Value.(*waiter).granted <- crcode.Overloaded
+	}
+	queue := g.queue
+	g.mu.Unlock()
+	timer := time.NewTimer(it.Deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case code := <-w.granted:
+		return l, code
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	if queue.Remove(it) {
+		if ctx.Err() != nil {
+			return l, crcode.Cancelled
+		}
+		return l, crcode.QueueTimeout
+	}
+	// The place was given, or the item refused, at the same moment.
+	select {
+	case code := <-w.granted:
+		if code == crcode.OK && ctx.Err() != nil {
+			g.release(l, crlimiter.Sample{Result: crlimiter.Cancelled})
+			return l, crcode.Cancelled
+		}
+		return l, code
+	case <-time.After(time.Second):
+		// Expire took the item without an answer; nothing was given.
+		return l, crcode.QueueTimeout
+	}
+}
+
+// closed tells why no call may run now; OK means that calls may. The lock is held.
+func (g *gate) closed(now time.Time, c *call) crcode.Code {
+	switch {
+	case g.node.stopping.Load():
+		return crcode.Stopping
+	case g.reg == nil || g.missed || now.Before(g.downUntil):
+		return crcode.NoServer
+	case c.service != g.reg.Service:
+		return crcode.StaleIncarnation
+	case g.reg.Draining:
+		return crcode.Leaving
+	case !now.Before(c.deadline):
+		return crcode.DeadlineExpired
+	}
+	return crcode.OK
+}
+
+// release gives a place back and grants it to the next call in the queue.
+func (g *gate) release(l lane, s crlimiter.Sample) {
+	now := time.Now()
+	l.limiter.Release(now, s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter != l.limiter {
+		return
+	}
+	g.grant(now)
+}
+
+func (g *gate) grant(now time.Time) {
+	for g.queue.Len() > 0 && g.limiter.Acquire(now) {
+		it, ok := g.queue.Pop(now)
+		if !ok {
+			g.limiter.Release(now, crlimiter.Sample{Result: crlimiter.Cancelled})
+			break
+		}
+		it.Value.(*waiter).granted <- crcode.OK
+	}
+	for _, it := range g.queue.Expire(now) {
+		it.Value.(*waiter).granted <- crcode.QueueTimeout
+	}
+}
+
+// load returns what answers tell of this gate.
+func (g *gate) load() *crrouter.Feedback {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter == nil {
+		return nil
+	}
+	return &crrouter.Feedback{InFlight: g.limiter.InFlight(), Limit: g.limiter.Limit(), Queued: g.queue.Len()}
+}
+
+// do runs the call on the server; ctx ends when the caller has left.
+func (g *gate) do(ctx context.Context, c *call) *reply {
+	start := time.Now()
+	l, code := g.admit(ctx, c)
+	waited := time.Since(start)
+	if code != crcode.OK {
+		r := refuse(code, "")
+		r.waited, r.load = waited, g.load()
+		r.retryIn = g.roomIn()
+		return r
+	}
+	r := g.exchange(ctx, c, l, waited)
+	r.waited, r.load = waited, g.load()
+	return r
+}
+
+// roomIn returns when the gate expects to have worked off its queue.
+func (g *gate) roomIn() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter == nil {
+		return 0
+	}
+	return g.limiter.Expected("", g.queue.Len())
+}
+
+// exchange sends an admitted call to the server and reads its answer.
+func (g *gate) exchange(ctx context.Context, c *call, l lane, waited time.Duration) *reply {
+	started := time.Now()
+	work := ctx
+	if c.once {
+		// A run that may not be repeated goes on when its caller leaves: it may be complete a moment later.
+		work = context.WithoutCancel(ctx)
+	}
+	work, cancel := context.WithDeadline(work, c.deadline.Add(serverSlack))
+	resp, err := l.client.Do(work, g.request(c, l, started))
+	if err != nil {
+		cancel()
+		return g.failed(c, l, started, waited, err)
+	}
+	r := &reply{code: crcode.OK, status: resp.Status, header: passedOn(resp.Header), length: resp.Length, body: resp.Body}
+	finish := func(result crlimiter.Result) {
+		resp.Close()
+		cancel()
+		r.took = time.Since(started)
+		g.release(l, crlimiter.Sample{Kind: c.route, Latency: r.took, Queued: waited, Result: result})
+	}
+	if resp.Header.Get(g.node.Settings.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+		if resp.Status == http.StatusMisdirectedRequest {
+			g.down(l, started.Add(g.node.Settings.Heartbeat))
+		}
+		finish(crlimiter.Refused)
+		return &reply{code: crcode.ServerRefused, took: r.took}
+	}
+	if resp.Header.Get("Content-Encoding") != "" {
+		finish(crlimiter.Failure)
+		return &reply{code: crcode.AnswerTruncated, detail: "encoded", took: r.took}
+	}
+	body, length, whole, err := readWhole(resp.Body)
+	if err != nil {
+		finish(crlimiter.Failure)
+		if work.Err() != nil && ctx.Err() != nil {
+			return &reply{code: crcode.CancelledRun, took: r.took}
+		}
+		return &reply{code: crcode.AnswerTruncated, detail: err.Error(), took: r.took}
+	}
+	r.body, r.whole = body, whole
+	if whole {
+		r.length = length
+		finish(resultOf(resp.Status))
+		return r
+	}
+	r.took = time.Since(started)
+	r.close = func() { finish(resultOf(resp.Status)) }
+	return r
+}
+
+func resultOf(status int) crlimiter.Result {
+	if status >= 500 {
+		return crlimiter.Failure
+	}
+	return crlimiter.Success
+}
+
+// request builds what the server gets.
+func (g *gate) request(c *call, l lane, now time.Time) *crexchange.Request {
+	names := g.node.Settings.Headers
+	h := passedOn(c.header)
+	h.Set(names.Timeout, formatMilliseconds(c.deadline.Sub(now)))
+	h.Set(names.Caller, c.caller)
+	h.Set(names.ExpectServer, l.reg.ID)
+	return &crexchange.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body, Length: c.length}
+}
+
+// failed ends a call that got no answer.
+func (g *gate) failed(c *call, l lane, started time.Time, waited time.Duration, err error) *reply {
+	took := time.Since(started)
+	s := crlimiter.Sample{Kind: c.route, Latency: took, Queued: waited, Result: crlimiter.Failure}
+	r := &reply{code: crcode.AnswerLost, detail: err.Error(), took: took}
+	switch {
+	case errors.Is(err, context.Canceled):
+		s.Result, r.code = crlimiter.Cancelled, crcode.CancelledRun
+	case errors.Is(err, crexchange.ErrNotSent):
+		s.Result, r.code = crlimiter.Refused, crcode.NoServer
+		g.down(l, time.Now().Add(downFor))
+	case errors.Is(err, context.DeadlineExceeded):
+		s.Result, r.code = crlimiter.Timeout, crcode.DeadlineRunning
+	}
+	g.release(l, s)
+	return r
+}
+
+// down keeps calls from the server for a while, unless it has started anew.
+func (g *gate) down(l lane, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter == l.limiter {
+		g.downUntil = until
+	}
+}
--- /dev/null
+++ b/internal/crforward/headers.go
@@ -0,0 +1,87 @@
+package crforward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Headers between nodes; none of them leaves the system.
+const (
+	hopPrefix   = "Citronramp-Hop-"
+	hopService  = hopPrefix + "Service"
+	hopLeft     = hopPrefix + "Left"
+	hopRank     = hopPrefix + "Rank"
+	hopCaller   = hopPrefix + "Caller"
+	hopOnce     = hopPrefix + "Once"
+	hopDeeper   = hopPrefix + "Deeper"
+	hopRoute    = hopPrefix + "Route"
+	hopCode     = hopPrefix + "Code"
+	hopLoad     = hopPrefix + "Load"
+	hopRetryIn  = hopPrefix + "Retry-In"
+	hopTook     = hopPrefix + "Took"
+	hopPressure = hopPrefix + "Pressure"
+)
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// passedOn returns the headers that are passed on: all but those that concern one connection or the hops of this system.
+func passedOn(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for k, v := range h {
+		if !strings.HasPrefix(k, hopPrefix) {
+			out[k] = v
+		}
+	}
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(out, name)
+	}
+	return out
+}
+
+// milliseconds parses a count of milliseconds.
+func milliseconds(s string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(strings.TrimSpace(s), 10, 64)
+	if err != nil || ms < 0 || ms > int64(24*time.Hour/time.Millisecond) {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+func formatMilliseconds(d time.Duration) string {
+	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
+}
+
+// formatSeconds writes a time for a retry hint.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
+}
+
+func formatCode(c crcode.Code) string { return strconv.Itoa(int(c)) }
+
+func parseCode(s string) crcode.Code {
+	n, err := strconv.ParseUint(s, 10, 16)
+	if err != nil {
+		return crcode.Internal
+	}
+	return crcode.Code(n)
+}
+
+// owns reports whether a response belongs to a request, by the id that servers echo.
+func (n *Node) owns(request, response http.Header) bool {
+	name := n.Settings.Headers.RequestID
+	return request.Get(name) == response.Get(name)
+}
--- /dev/null
+++ b/internal/crforward/hop.go
@@ -0,0 +1,203 @@
+package crforward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crexchange"
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+// Bounds of the connections between nodes.
+const (
+	// hopSlack is how long after the deadline another node's answer is still waited for; it is above serverSlack.
+	hopSlack = 120 * time.Millisecond
+	// hopConnections bounds the idle connections to one node.
+	hopConnections = 64
+	// hopIdleUse is below hopIdle, so that this side closes first.
+	hopIdleUse = 30 * time.Second
+	// hopDial bounds a new connection; nodes are a few milliseconds apart.
+	hopDial = 500 * time.Millisecond
+)
+
+// hops are the connections to the gates of other nodes.
+type hops struct {
+	owns    func(request, response http.Header) bool
+	mu      sync.Mutex
+	clients map[string]*crexchange.Client
+}
+
+func (h *hops) to(address string) *crexchange.Client {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.clients[address]
+	if c == nil {
+		if h.clients == nil {
+			h.clients = map[string]*crexchange.Client{}
+		}
+		c = &crexchange.Client{Address: address, MaxIdle: hopConnections, IdleTimeout: hopIdleUse, DialTimeout: hopDial, Owns: h.owns}
+		h.clients[address] = c
+	}
+	return c
+}
+
+// retain closes the connections to nodes that are no longer known.
+func (h *hops) retain(known map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for a, c := range h.clients {
+		if !known[a] {
+			c.Close()
+			delete(h.clients, a)
+		}
+	}
+}
+
+// send passes a call to the gate at address and returns how it ended.
+func (n *Node) send(ctx context.Context, address string, c *call) *reply {
+	if address == n.Settings.Address {
+		return n.gate.do(ctx, c)
+	}
+	now := time.Now()
+	work, cancel := context.WithDeadline(ctx, c.deadline.Add(hopSlack))
+	resp, err := n.peers.to(address).Do(work, hopRequest(c, now))
+	if err != nil {
+		cancel()
+		return hopFailed(err)
+	}
+	r := &reply{
+		code: parseCode(resp.Header.Get(hopCode)), status: resp.Status, length: resp.Length, load: parseLoad(resp.Header.Get(hopLoad)),
+		pressure: resp.Header.Get(hopPressure),
+	}
+	r.retryIn, _ = milliseconds(resp.Header.Get(hopRetryIn))
+	r.took, _ = milliseconds(resp.Header.Get(hopTook))
+	if r.code != crcode.OK {
+		detail, err := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+		if err == nil {
+			r.detail = string(detail)
+		}
+		resp.Close()
+		cancel()
+		return r
+	}
+	body, length, whole, err := readWhole(resp.Body)
+	if err != nil {
+		resp.Close()
+		cancel()
+		return &reply{code: crcode.AnswerTruncated, detail: err.Error(), took: r.took}
+	}
+	r.header, r.body, r.whole = passedOn(resp.Header), body, whole
+	if whole {
+		r.length = length
+		resp.Close()
+		cancel()
+		return r
+	}
+	r.close = func() {
+		resp.Close()
+		cancel()
+	}
+	return r
+}
+
+// hopFailed maps the failure of an exchange with another node. Bytes that were sent may have made the request run.
+func hopFailed(err error) *reply {
+	switch {
+	case errors.Is(err, context.Canceled):
+		return refuse(crcode.CancelledRun, "")
+	case errors.Is(err, crexchange.ErrNotSent):
+		return refuse(crcode.NoServer, err.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return refuse(crcode.DeadlineRunning, "")
+	}
+	return refuse(crcode.AnswerLost, err.Error())
+}
+
+func hopRequest(c *call, now time.Time) *crexchange.Request {
+	h := passedOn(c.header)
+	h.Set(hopService, c.service)
+	h.Set(hopRoute, c.route)
+	h.Set(hopLeft, formatMilliseconds(c.deadline.Sub(now)))
+	h.Set(hopRank, strconv.FormatUint(uint64(c.rank), 16))
+	h.Set(hopCaller, c.caller)
+	if c.once {
+		h.Set(hopOnce, "1")
+	}
+	if c.deeper {
+		h.Set(hopDeeper, "1")
+	}
+	return &crexchange.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body, Length: c.length}
+}
+
+// parseHop decodes a call from another node.
+func parseHop(r *http.Request, idHeader string, now time.Time) (*call, error) {
+	left, ok := milliseconds(r.Header.Get(hopLeft))
+	rank, err := strconv.ParseUint(r.Header.Get(hopRank), 16, 64)
+	if !ok || err != nil || r.Header.Get(hopService) == "" {
+		return nil, crcode.New(crcode.MalformedMessage, "a call from another node lacks its headers")
+	}
+	return &call{
+		id: r.Header.Get(idHeader), route: r.Header.Get(hopRoute), service: r.Header.Get(hopService), method: r.Method,
+		target: r.RequestURI, host: r.Host, header: r.Header, body: r.Body, length: r.ContentLength,
+		deadline: now.Add(left), rank: cradmission.Priority(rank), caller: r.Header.Get(hopCaller),
+		once: r.Header.Get(hopOnce) != "", deeper: r.Header.Get(hopDeeper) != "",
+	}, nil
+}
+
+func formatLoad(f *crrouter.Feedback) string {
+	return fmt.Sprintf("%d,%d,%d", f.InFlight, f.Limit, f.Queued)
+}
+
+func parseLoad(s string) *crrouter.Feedback {
+	f := &crrouter.Feedback{}
+	if _, err := fmt.Sscanf(s, "%d,%d,%d", &f.InFlight, &f.Limit, &f.Queued); err != nil {
+		// Another node that has no server yet tells no load.
+		return nil
+	}
+	return f
+}
+
+// serveInbound takes calls from other nodes.
+func (n *Node) serveInbound(w http.ResponseWriter, req *http.Request) {
+	names := n.Settings.Headers
+	c, err := parseHop(req, names.RequestID, time.Now())
+	if err != nil {
+		w.Header().Set(hopCode, formatCode(crcode.Of(err)))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	release, err := n.bodies.keep(c)
+	defer release()
+	if err != nil {
+		// The sender has gone or cut its body short; nothing was passed on.
+		panic(http.ErrAbortHandler)
+	}
+	r := n.gate.do(req.Context(), c)
+	defer r.end()
+	h := w.Header()
+	if r.load != nil {
+		h.Set(hopLoad, formatLoad(r.load))
+	}
+	if p := n.pressureFor(c); p != "" {
+		h.Set(hopPressure, p)
+	}
+	h.Set(hopCode, formatCode(r.code))
+	h.Set(hopTook, formatMilliseconds(r.took))
+	n.logRun(c, r)
+	if r.code != crcode.OK {
+		h.Set(names.RequestID, c.id)
+		h.Set(hopRetryIn, formatMilliseconds(r.retryIn))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, r.detail)
+		return
+	}
+	writeAnswer(w, r)
+}
--- /dev/null
+++ b/internal/crforward/services.go
@@ -0,0 +1,120 @@
+package crforward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crbudget"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+)
+
+// Bounds of repeated sends.
+const (
+	// retryShare is the part of the allowed ratio that one level of a call chain uses: the calls of a repeated run are
+	// repeats at the services below, so the levels of a chain add up.
+	retryShare = 0.25
+	// retrySaved is how many repeats a node may save up; with one in each node all together stay within the slack.
+	retrySaved = 1
+)
+
+// service is what a node knows about one service.
+type service struct {
+	name    string
+	router  *crrouter.Router
+	retries *crbudget.Ratio
+
+	mu sync.Mutex
+	// addresses are the gates by node, instances the lifetimes of the servers.
+	addresses map[string]string
+	instances map[string]instance
+}
+
+// instance is a lifetime of a server and when this node learned of it.
+type instance struct {
+	name  string
+	since time.Time
+}
+
+// services are the services that the routes name.
+type services struct {
+	node *Node
+	mu   sync.Mutex
+	all  map[string]*service
+}
+
+func (s *services) get(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.all[name]
+	if v == nil {
+		if s.all == nil {
+			s.all = map[string]*service{}
+		}
+		set := s.node.Settings
+		v = &service{
+			name: name, router: &crrouter.Router{Domain: set.Domain},
+			retries:   &crbudget.Ratio{PerSuccess: set.RetryRatio * retryShare, PerSecond: 1e-6, Burst: retrySaved},
+			addresses: map[string]string{}, instances: map[string]instance{},
+		}
+		s.all[name] = v
+	}
+	return v
+}
+
+// known returns the gates of all services.
+func (s *services) known() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]bool{}
+	for _, v := range s.all {
+		v.mu.Lock()
+		for _, a := range v.addresses {
+			out[a] = true
+		}
+		v.mu.Unlock()
+	}
+	return out
+}
+
+// takeSubset takes the servers of a service from the directory.
+func (n *Node) takeSubset(name string, entries []*crwire.DirectoryEntry) {
+	now := time.Now()
+	s := n.services.get(name)
+	servers := s.update(now, entries)
+	s.router.Update(now, servers)
+	n.peers.retain(n.services.known())
+	n.Log.Emit(now, crevent.State, crevent.ServersChanged, crevent.KeyService, name, crevent.KeyCount, len(servers), crevent.KeyOf, len(entries))
+}
+
+func (s *service) update(now time.Time, entries []*crwire.DirectoryEntry) []crrouter.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := len(s.instances) == 0
+	addresses, instances := map[string]string{}, map[string]instance{}
+	var out []crrouter.Server
+	for _, e := range entries {
+		if e.GetState() != crdirectory.Serving {
+			continue
+		}
+		in := s.instances[e.GetNode()]
+		if in.name != e.GetInstance() {
+			in = instance{name: e.GetInstance()}
+			if !first {
+				in.since = now
+			}
+		}
+		addresses[e.GetNode()], instances[e.GetNode()] = e.GetAddress(), in
+		out = append(out, crrouter.Server{ID: e.GetNode(), Domain: e.GetDomain(), Slots: int(e.GetSlots()), Started: in.since})
+	}
+	s.addresses, s.instances = addresses, instances
+	return out
+}
+
+func (s *service) address(node string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addresses[node]
+}
--- /dev/null
+++ b/internal/crforward/stop.go
@@ -0,0 +1,36 @@
+package crforward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crevent"
+)
+
+// Times of a planned stop, as parts of the time until the process is killed.
+const (
+	// stopNoticePart is the time in which clients learn that the node is not ready, while it still takes requests: clients
+	// are told after two questions a second apart.
+	stopNoticePart = 0.45
+	// stopReserve is kept for the end of the process itself.
+	stopReserve = 300 * time.Millisecond
+)
+
+// stop finishes what is in flight: the node says that it is not ready, its gate takes no new work, requests of clients
+// are taken for a while yet, then connections close as their requests end.
+func (n *Node) stop(servers ...*http.Server) {
+	now := time.Now()
+	end := now.Add(n.Settings.StopTimeout - stopReserve)
+	n.stopping.Store(true)
+	n.Log.Emit(now, crevent.State, crevent.Stopping, crevent.KeyCount, n.inFlight.Load(), crevent.KeyLeft, n.Settings.StopTimeout)
+	n.announce()
+	time.Sleep(time.Duration(float64(n.Settings.StopTimeout) * stopNoticePart))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			n.Log.Emit(time.Now(), crevent.State, crevent.Cut, crevent.KeyCount, n.inFlight.Load(), crevent.KeyError, err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/crquorum/crquorum_test.go
@@ -0,0 +1,86 @@
+package crquorum_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/pkg/crlog"
+	"github.com/citronramp/citronramp/pkg/crquorum"
+)
+
+var (
+	now     = time.Unix(1000, 0)
+	members = crlog.Members{{ID: 1, Address: "a"}, {ID: 2, Address: "b"}, {ID: 3, Address: "c"}}
+)
+
+func candidate(id uint64, address string) crquorum.Candidate {
+	return crquorum.Candidate{ID: id, Address: address, Heard: now}
+}
+
+// TestFounders guards against a second history: a coordinator that starts again, has lost its disk or was not named at
+// the first start must not found a membership, and all founders agree on it.
+func TestFounders(t *testing.T) {
+	seeds := []string{"b", "a", "c"}
+	first := crquorum.Founders("a", seeds, true, true)
+	qt.Assert(t, first, qt.HasLen, 3)
+	qt.Assert(t, crquorum.Founders("c", []string{"c", "a", "b"}, true, true), qt.DeepEquals, first)
+	qt.Assert(t, first.Voters(), qt.Contains, crquorum.FirstID("b"))
+	qt.Assert(t, crquorum.Founders("d", seeds, true, true), qt.IsNil)
+	qt.Assert(t, crquorum.Founders("a", seeds, false, true), qt.IsNil)
+	qt.Assert(t, crquorum.Founders("a", seeds, true, false), qt.IsNil)
+}
+
+// TestVoters guards against too few voters for the losses to bear.
+func TestVoters(t *testing.T) {
+	qt.Assert(t, crquorum.Voters(0), qt.Equals, 3)
+	qt.Assert(t, crquorum.Voters(1), qt.Equals, 3)
+	qt.Assert(t, crquorum.Voters(2), qt.Equals, 5)
+}
+
+// TestDecide guards against losses that are not repaired, and against repairs that a restart or a split provokes.
+func TestDecide(t *testing.T) {
+	long := crquorum.LostAfter + time.Millisecond
+	for name, c := range map[string]struct {
+		view crquorum.View
+		kind crquorum.ActionKind
+		lost uint64
+		id   uint64
+	}{
+		"all heard":            {crquorum.View{Candidates: []crquorum.Candidate{candidate(9, "d")}}, crquorum.Nothing, 0, 0},
+		"silent, nobody":       {crquorum.View{Silence: map[uint64]time.Duration{2: long}}, crquorum.Nothing, 0, 0},
+		"silent":               {crquorum.View{Silence: map[uint64]time.Duration{2: long}, Candidates: []crquorum.Candidate{candidate(9, "d")}}, crquorum.Replace, 2, 9},
+		"restarting":           {crquorum.View{Silence: map[uint64]time.Duration{2: crquorum.LostAfter}, Candidates: []crquorum.Candidate{candidate(9, "d")}}, crquorum.Nothing, 0, 0},
+		"without its disk":     {crquorum.View{Silence: map[uint64]time.Duration{3: time.Second}, Candidates: []crquorum.Candidate{candidate(8, "d"), candidate(9, "c")}}, crquorum.Replace, 3, 9},
+		"candidate that left":  {crquorum.View{Silence: map[uint64]time.Duration{2: long}, Candidates: []crquorum.Candidate{{ID: 9, Address: "d", Heard: now.Add(-2 * time.Second)}}}, crquorum.Nothing, 0, 0},
+		"former member":        {crquorum.View{Silence: map[uint64]time.Duration{2: long}, Candidates: []crquorum.Candidate{candidate(3, "c")}}, crquorum.Nothing, 0, 0},
+		"too few":              {crquorum.View{Want: 5, Candidates: []crquorum.Candidate{candidate(9, "d")}}, crquorum.Add, 0, 9},
+		"another domain first": {crquorum.View{Want: 5, Domains: map[string]string{"a": "x", "b": "y", "c": "y"}, Candidates: []crquorum.Candidate{{ID: 8, Address: "d", Domain: "x", Heard: now}, {ID: 9, Address: "e", Domain: "z", Heard: now}}}, crquorum.Add, 0, 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.view.Self, c.view.Members = 1, members
+			if c.view.Want == 0 {
+				c.view.Want = 3
+			}
+			a := crquorum.Decide(now, c.view)
+			qt.Assert(t, a.Kind, qt.Equals, c.kind)
+			qt.Assert(t, a.Lost, qt.Equals, c.lost)
+			qt.Assert(t, a.Member.ID, qt.Equals, c.id)
+		})
+	}
+}
+
+// TestOneChange guards against a second change while a learner catches up, and against a learner that blocks repairs.
+func TestOneChange(t *testing.T) {
+	v := crquorum.View{
+		Self: 1, Want: 3, Members: append(crlog.Members{{ID: 7, Address: "e", Learner: true, Replaces: 2}}, members...),
+		Silence:    map[uint64]time.Duration{2: time.Minute},
+		Candidates: []crquorum.Candidate{candidate(9, "d")},
+	}
+	qt.Assert(t, crquorum.Decide(now, v).Kind, qt.Equals, crquorum.Nothing)
+	v.Silence[7] = crquorum.LearnerPatience + time.Millisecond
+	a := crquorum.Decide(now, v)
+	qt.Assert(t, a.Kind, qt.Equals, crquorum.GiveUp)
+	qt.Assert(t, a.Lost, qt.Equals, uint64(7))
+}
--- /dev/null
+++ b/pkg/crroute/crroute.go
@@ -0,0 +1,206 @@
+// Package crroute is the routing table of forwarded HTTP: routes by host and longest path prefix, each to one service or
+// split over several by weight. A table is immutable and safe for concurrent use.
+package crroute
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crcode"
+)
+
+// Kind tells how often a request of a route may run.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Repeatable requests may run any number of times.
+	Repeatable Kind = iota + 1
+	// Once requests run at most once for each attempt of a client.
+	Once
+	// Upload requests run at most once and carry large bodies.
+	Upload
+)
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route maps the requests of one host below one path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout bounds the time from the arrival of a request to its final answer; Target is the time within which an
+	// answer has its full value.
+	Timeout, Target time.Duration
+	// Priority ranks the route; 0 is the most important.
+	Priority int
+	Shares   []Share
+	// MaxAttempts bounds the servers that one request may be sent to.
+	MaxAttempts int
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Repeatable }
+
+// Service returns the service for a draw in [0, 1), by weight.
+func (r *Route) Service(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range r.Shares {
+		if at -= float64(s.Weight); at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Service describes the servers that routes lead to.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one server accepts from all callers together.
+	MaxConnections int
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Bounds that a valid table keeps.
+const (
+	// MaxTimeout is the longest timeout of a route, from the platform's interface.
+	MaxTimeout = 10 * time.Minute
+	// MaxTargetExcess is by how much a target may exceed its route's timeout, from the platform's interface; the bound
+	// itself is excluded.
+	MaxTargetExcess = time.Minute
+)
+
+// Table is a complete version of the routing configuration.
+type Table struct {
+	version  uint64
+	byHost   map[string][]*Route
+	services map[string]Service
+	limits   Limits
+}
+
+// New returns a table or a BadValue error that names the first fault.
+func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
+	t := &Table{version: version, byHost: map[string][]*Route{}, services: map[string]Service{}, limits: limits}
+	for _, s := range services {
+		if _, ok := t.services[s.Name]; ok || s.Name == "" {
+			return nil, crcode.New(crcode.BadValue, "service %q has no name or stands twice", s.Name)
+		}
+		t.services[s.Name] = s
+	}
+	for _, r := range routes {
+		if err := t.check(&r); err != nil {
+			return nil, err
+		}
+		host := hostname(r.Host)
+		for _, other := range t.byHost[host] {
+			if other.Prefix == r.Prefix {
+				return nil, crcode.New(crcode.BadValue, "routes %q and %q have the same host and prefix", other.Name, r.Name)
+			}
+		}
+		t.byHost[host] = append(t.byHost[host], &r)
+	}
+	for _, list := range t.byHost {
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	switch {
+	case r.Host == "":
+		return crcode.New(crcode.BadValue, "route %q has no host", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return crcode.New(crcode.BadValue, "route %q: the path prefix %q must begin with a slash", r.Name, r.Prefix)
+	case r.Kind < Repeatable || r.Kind > Upload:
+		return crcode.New(crcode.BadValue, "route %q has an unknown kind", r.Name)
+	case r.Timeout <= 0 || r.Timeout > MaxTimeout:
+		return crcode.New(crcode.BadValue, "route %q: the timeout %s is not above 0 and at most %s", r.Name, r.Timeout, MaxTimeout)
+	case r.Target < 0 || r.Target >= r.Timeout+MaxTargetExcess:
+		return crcode.New(crcode.BadValue, "route %q: the target %s is %s or more above the timeout", r.Name, r.Target, MaxTargetExcess)
+	case r.MaxAttempts < 1:
+		return crcode.New(crcode.BadValue, "route %q allows no attempt", r.Name)
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if _, ok := t.services[s.Service]; !ok {
+			return crcode.New(crcode.BadValue, "route %q names the unknown service %q", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return crcode.New(crcode.BadValue, "route %q has a negative weight", r.Name)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return crcode.New(crcode.BadValue, "route %q leads nowhere", r.Name)
+	}
+	return nil
+}
+
+// hostname returns a host in lower case and without a port.
+func hostname(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// Match returns the route of the host whose prefix is the longest that begins the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[hostname(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Version returns the number of the version.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits returns the bounds of clients.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns the description of a service.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns the names of all services in order.
+func (t *Table) Services() []string {
+	names := make([]string, 0, len(t.services))
+	for n := range t.services {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, l := range t.byHost {
+		n += len(l)
+	}
+	return n
+}
