crforward: turn work away at the entrance by what it costs the service that binds

Ruled out: retries as the cause (864 in 14 s); the servers' own queues (20 refusals). Change: a regulator at each gate turns occupancy into an intensity (crshed), answers carry intensities and costs, nodes learn what a run takes of each service by regression (crcost), entrances turn away the least important clients' requests first. Calls of running work are told from requests of clients by the services that they come from, and go first in a gate's queue.

--- a/internal/crforward/answer.go
+++ b/internal/crforward/answer.go
@@ -45,7 +45,7 @@
 		status = http.StatusServiceUnavailable
 		h.Set(n.Settings.Headers.RetryAfter, formatSeconds(retryIn))
 	}
-	h.Set("Citronramp-Code", formatCode(r.code))
+	h.Set("Citronramp-Code", strconv.Itoa(int(r.code)))
 	h.Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -10,7 +10,9 @@
 
 	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crshed"
 )
 
 // call is one request on its way to a backend server.
@@ -30,8 +32,10 @@
 	rank     cradmission.Priority
 	// caller is the service of the instance where the request began.
 	caller string
-	// once forbids a second run; deeper marks a call that a running request makes.
-	once, deeper bool
+	// once forbids a second run.
+	once bool
+	// origin tells whether clients or servers send the requests of the route, as far as known.
+	origin origin
 }
 
 // rewind makes the body readable again from its start; it reports false when the body is gone.
@@ -59,8 +63,12 @@
 	// retryIn is when there may be room; waited and took are the times in the gate's queue and at the server.
 	retryIn      time.Duration
 	waited, took time.Duration
-	pressure     string
-	close        func()
+	// intensity is that of the gate, board and cost what it knows of the services below; cost is nil when it tells none.
+	intensity float64
+	board     []crshed.Entry
+	cost      crcost.Vector
+	origin    origin
+	close     func()
 }
 
 func refuse(code crcode.Code, detail string) *reply { return &reply{code: code, detail: detail} }
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -17,7 +17,9 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crexchange"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crroute"
+	"github.com/citronramp/citronramp/pkg/crshed"
 )
 
 // Headers are the names by which clients and backend servers tell and are told things about one request.
@@ -89,6 +91,12 @@
 	services  services
 	peers     hops
 	bodies    bodies
+	board     crshed.Board
+	shares    crshed.Shares
+	costs     routeCosts
+	origins   routeOrigins
+	ledger    *crcost.Ledger
+	answers   atomic.Uint64
 	stopping  atomic.Bool
 	// inFlight counts the requests at the entrance.
 	inFlight atomic.Int64
@@ -126,6 +134,7 @@
 	}
 	n.run(func() { n.follow(duties) })
 	n.run(func() { n.gate.watch(duties) })
+	n.run(func() { n.measure(duties) })
 	n.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyService, n.Settings.Service, crevent.KeyAddress, n.Settings.Address)
 	<-ctx.Done()
 	// Runs at the gate may still make calls through the entrance, so it closes last.
@@ -148,6 +157,7 @@
 	n.services.node = n
 	n.peers.owns = n.owns
 	n.bodies.limit = n.Settings.MemoryBytes / bodyMemoryShare
+	n.ledger = &crcost.Ledger{Service: n.Settings.Service}
 	n.gate = newGate(n)
 	n.follower.seeds(n.Settings.Seeds)
 	n.gauges()
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -68,35 +67,25 @@
 		id: req.Header.Get(names.RequestID), route: route.Name, service: route.Service(rand.Float64()), method: req.Method,
 		target: req.RequestURI, host: req.Host, header: req.Header, body: req.Body, length: req.ContentLength,
 		deadline: now.Add(min(left, route.Timeout)), caller: n.Settings.Service, once: !route.Repeatable(),
-		deeper: n.fromServer(req),
+		origin: n.origins.of(route.Name),
 	}
-	class := cradmission.Ordinary
-	if c.deeper {
-		// The work above is lost with its call.
-		class = cradmission.Protected
-	}
-	c.rank = cradmission.NewPriority(class, uint32(topWorth-min(max(route.Priority, 0), topWorth-1)), c.id)
+	c.rank = cradmission.NewPriority(cradmission.Ordinary, uint32(topWorth-min(max(route.Priority, 0), topWorth-1)), c.id)
 	return c
 }
 
-// fromServer reports whether the backend server on this instance sent the request.
-func (n *Node) fromServer(req *http.Request) bool {
-	host, _, err := net.SplitHostPort(req.RemoteAddr)
-	if err != nil {
-		return false
-	}
-	own, _, err := net.SplitHostPort(n.Settings.Address)
-	return err == nil && (host == own || net.ParseIP(host).IsLoopback())
-}
-
 func (n *Node) serveCall(w http.ResponseWriter, req *http.Request, c *call, route *crroute.Route, arrived time.Time) {
+	if r := n.admit(arrived, c, route); r != nil {
+		n.finishBody(w, c)
+		n.reject(w, c, r, n.retryIn(r, c.deadline.Sub(arrived)))
+		return
+	}
 	release, err := n.bodies.keep(c)
 	defer release()
 	if err != nil {
 		// The client has gone or cut its body short.
 		panic(http.ErrAbortHandler)
 	}
-	r, tries := n.place(req.Context(), c, route)
+	r, tries := n.watched(req.Context(), c, route)
 	defer r.end()
 	n.logAnswer(c, r, tries, arrived)
 	if r.code == crcode.OK {
@@ -129,6 +118,18 @@
 	n.writeFailure(w, c, r, retryIn)
 }
 
+// watched places a call and counts it with the calls of the server that makes it.
+func (n *Node) watched(ctx context.Context, c *call, route *crroute.Route) (*reply, int) {
+	if c.origin != originServers {
+		return n.place(ctx, c, route)
+	}
+	start := time.Now()
+	n.ledger.CallStarted(c.route)
+	r, tries := n.place(ctx, c, route)
+	n.ledger.CallEnded(c.route, time.Since(start), r.code == crcode.OK && r.status < 500, n.costs.of(c.route))
+	return r, tries
+}
+
 // place sends the call to one server after another until one answers or nothing more is allowed.
 func (n *Node) place(ctx context.Context, c *call, route *crroute.Route) (r *reply, tries int) {
 	s := n.services.get(c.service)
@@ -147,7 +148,7 @@
 		last := r
 		r = n.send(ctx, s.address(server.ID), c)
 		s.router.Done(time.Now(), server.ID, routerResult(r, time.Since(now)))
-		n.learn(c, r)
+		n.learn(time.Now(), server.ID, c, r)
 		if r.code == crcode.OK && (r.status < 500 || c.once) {
 			return r, tries
 		}
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -13,6 +13,7 @@
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crshed"
 )
 
 // Times of a gate.
@@ -44,6 +45,8 @@
 	// downUntil ends the time in which the server is not tried.
 	downUntil time.Time
 	missed    bool
+	regulator *crshed.Regulator
+	origins   origins
 }
 
 // waiter is a queued call.
@@ -51,7 +54,7 @@
 	granted chan crcode.Code
 }
 
-func newGate(n *Node) *gate { return &gate{node: n} }
+func newGate(n *Node) *gate { return &gate{node: n, regulator: &crshed.Regulator{}} }
 
 // report takes a report of the server; a new lifetime starts with nothing known.
 func (g *gate) report(now time.Time, r Report) registrationVerdict {
@@ -85,6 +88,7 @@
 	}
 	g.empty(crcode.Leaving)
 	g.limiter = &crlimiter.Limiter{Slots: r.Slots, Min: r.Slots, Max: r.Slots}
+	g.regulator.Start(g.node.board.Intensity(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queuePerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
 		Address: r.Address, MaxIdle: r.Slots, IdleTimeout: maxServerIdle, Owns: g.node.owns,
@@ -175,20 +179,24 @@
 	}
 	l := lane{*g.reg, g.client, g.limiter}
 	if g.queue.Len() == 0 && g.limiter.Acquire(now) {
+		g.occupied(now)
 		g.mu.Unlock()
 		return l, crcode.OK
 	}
 	left := c.deadline.Sub(now)
 	if expected := g.limiter.Expected(c.route, g.queue.Ahead(c.rank)); expected > left {
+		g.regulator.Refused(g.limiter.RunTime(c.route))
 		g.mu.Unlock()
 		return l, crcode.Overloaded
 	}
 	w := &waiter{granted: make(chan crcode.Code, 1)}
 	it := &cradmission.Item{Priority: c.rank, Deadline: c.deadline.Add(-g.limiter.RunTime(c.route)), Value: w}
 	if refused := g.queue.Push(now, it); refused != nil {
+		g.regulator.Refused(g.limiter.RunTime(c.route))
 		refused.Value.(*waiter).granted <- crcode.Overloaded
 	}
 	queue := g.queue
+	g.occupied(now)
 	g.mu.Unlock()
 	timer := time.NewTimer(it.Deadline.Sub(now))
 	defer timer.Stop()
@@ -259,6 +267,17 @@
 	for _, it := range g.queue.Expire(now) {
 		it.Value.(*waiter).granted <- crcode.QueueTimeout
 	}
+	g.occupied(now)
+}
+
+// occupied tells the regulator of the present load. The lock is held.
+func (g *gate) occupied(now time.Time) {
+	g.regulator.Occupied(now, g.limiter.InFlight(), g.queue.Len(), g.limiter.Limit())
+}
+
+// step steps the regulator.
+func (g *gate) step(now time.Time) {
+	g.regulator.Tick(now)
 }
 
 // load returns what answers tell of this gate.
@@ -274,16 +293,25 @@
 // do runs the call on the server; ctx ends when the caller has left.
 func (g *gate) do(ctx context.Context, c *call) *reply {
 	start := time.Now()
+	from := g.origins.count(start, c.route, c.caller, g.node.services.withServers())
+	if from == originServers {
+		// The work above is lost with its call.
+		c.rank = cradmission.NewPriority(cradmission.Protected, c.rank.Worth(), c.id)
+	}
 	l, code := g.admit(ctx, c)
 	waited := time.Since(start)
 	if code != crcode.OK {
 		r := refuse(code, "")
-		r.waited, r.load = waited, g.load()
+		r.origin = from
+		r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
 		r.retryIn = g.roomIn()
 		return r
 	}
+	g.node.ledger.Started(c.route)
 	r := g.exchange(ctx, c, l, waited)
-	r.waited, r.load = waited, g.load()
+	g.node.ledger.Ended(c.route, r.took, r.code == crcode.OK && r.status < 500)
+	r.origin = from
+	r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
 	return r
 }
 
--- a/internal/crforward/headers.go
+++ b/internal/crforward/headers.go
@@ -6,26 +6,11 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
-// Headers between nodes; none of them leaves the system.
-const (
-	hopPrefix   = "Citronramp-Hop-"
-	hopService  = hopPrefix + "Service"
-	hopLeft     = hopPrefix + "Left"
-	hopRank     = hopPrefix + "Rank"
-	hopCaller   = hopPrefix + "Caller"
-	hopOnce     = hopPrefix + "Once"
-	hopDeeper   = hopPrefix + "Deeper"
-	hopRoute    = hopPrefix + "Route"
-	hopCode     = hopPrefix + "Code"
-	hopLoad     = hopPrefix + "Load"
-	hopRetryIn  = hopPrefix + "Retry-In"
-	hopTook     = hopPrefix + "Took"
-	hopPressure = hopPrefix + "Pressure"
-)
+// hopHeader carries what nodes tell each other about a call and its answer; it never leaves the system. One line of short
+// fields, since a call makes a dozen more and the bytes between failure domains are paid for.
+const hopHeader = "Citronramp-Hop"
 
 // connectionHeaders concern one connection only and are not passed on.
 var connectionHeaders = []string{
@@ -37,7 +22,7 @@
 func passedOn(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for k, v := range h {
-		if !strings.HasPrefix(k, hopPrefix) {
+		if k != hopHeader {
 			out[k] = v
 		}
 	}
@@ -70,16 +55,6 @@
 	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
 }
 
-func formatCode(c crcode.Code) string { return strconv.Itoa(int(c)) }
-
-func parseCode(s string) crcode.Code {
-	n, err := strconv.ParseUint(s, 10, 16)
-	if err != nil {
-		return crcode.Internal
-	}
-	return crcode.Code(n)
-}
-
 // owns reports whether a response belongs to a request, by the id that servers echo.
 func (n *Node) owns(request, response http.Header) bool {
 	name := n.Settings.Headers.RequestID
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crexchange"
-	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
-	"github.com/citronramp/citronramp/pkg/crrouter"
 )
 
 // Bounds of the connections between nodes.
@@ -64,7 +60,9 @@
 // send passes a call to the gate at address and returns how it ended.
 func (n *Node) send(ctx context.Context, address string, c *call) *reply {
 	if address == n.Settings.Address {
-		return n.gate.do(ctx, c)
+		r := n.gate.do(ctx, c)
+		r.cost = n.ledger.Cost(c.route)
+		return r
 	}
 	now := time.Now()
 	work, cancel := context.WithDeadline(ctx, c.deadline.Add(hopSlack))
@@ -73,12 +71,12 @@
 		cancel()
 		return hopFailed(err)
 	}
-	r := &reply{
-		code: parseCode(resp.Header.Get(hopCode)), status: resp.Status, length: resp.Length, load: parseLoad(resp.Header.Get(hopLoad)),
-		pressure: resp.Header.Get(hopPressure),
+	r := &reply{code: crcode.Internal, status: resp.Status, length: resp.Length}
+	if err := parseAnswer(resp.Header.Get(hopHeader), r); err != nil {
+		resp.Close()
+		cancel()
+		return refuse(crcode.AnswerLost, err.Error())
 	}
-	r.retryIn, _ = milliseconds(resp.Header.Get(hopRetryIn))
-	r.took, _ = milliseconds(resp.Header.Get(hopTook))
 	if r.code != crcode.OK {
 		detail, err := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
 		if err == nil {
@@ -123,46 +121,17 @@
 
 func hopRequest(c *call, now time.Time) *crexchange.Request {
 	h := passedOn(c.header)
-	h.Set(hopService, c.service)
-	h.Set(hopRoute, c.route)
-	h.Set(hopLeft, formatMilliseconds(c.deadline.Sub(now)))
-	h.Set(hopRank, strconv.FormatUint(uint64(c.rank), 16))
-	h.Set(hopCaller, c.caller)
-	if c.once {
-		h.Set(hopOnce, "1")
-	}
-	if c.deeper {
-		h.Set(hopDeeper, "1")
-	}
+	h.Set(hopHeader, formatCall(c, now))
 	return &crexchange.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body, Length: c.length}
 }
 
 // parseHop decodes a call from another node.
 func parseHop(r *http.Request, idHeader string, now time.Time) (*call, error) {
-	left, ok := milliseconds(r.Header.Get(hopLeft))
-	rank, err := strconv.ParseUint(r.Header.Get(hopRank), 16, 64)
-	if !ok || err != nil || r.Header.Get(hopService) == "" {
-		return nil, crcode.New(crcode.MalformedMessage, "a call from another node lacks its headers")
-	}
-	return &call{
-		id: r.Header.Get(idHeader), route: r.Header.Get(hopRoute), service: r.Header.Get(hopService), method: r.Method,
-		target: r.RequestURI, host: r.Host, header: r.Header, body: r.Body, length: r.ContentLength,
-		deadline: now.Add(left), rank: cradmission.Priority(rank), caller: r.Header.Get(hopCaller),
-		once: r.Header.Get(hopOnce) != "", deeper: r.Header.Get(hopDeeper) != "",
-	}, nil
-}
-
-func formatLoad(f *crrouter.Feedback) string {
-	return fmt.Sprintf("%d,%d,%d", f.InFlight, f.Limit, f.Queued)
-}
-
-func parseLoad(s string) *crrouter.Feedback {
-	f := &crrouter.Feedback{}
-	if _, err := fmt.Sscanf(s, "%d,%d,%d", &f.InFlight, &f.Limit, &f.Queued); err != nil {
-		// Another node that has no server yet tells no load.
-		return nil
+	c := &call{
+		id: r.Header.Get(idHeader), method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: r.Body,
+		length: r.ContentLength,
 	}
-	return f
+	return c, parseCall(r.Header.Get(hopHeader), c, now)
 }
 
 // serveInbound takes calls from other nodes.
@@ -170,7 +139,7 @@
 	names := n.Settings.Headers
 	c, err := parseHop(req, names.RequestID, time.Now())
 	if err != nil {
-		w.Header().Set(hopCode, formatCode(crcode.Of(err)))
+		n.Counters.Add("hops_malformed", 1)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -183,18 +152,10 @@
 	r := n.gate.do(req.Context(), c)
 	defer r.end()
 	h := w.Header()
-	if r.load != nil {
-		h.Set(hopLoad, formatLoad(r.load))
-	}
-	if p := n.pressureFor(c); p != "" {
-		h.Set(hopPressure, p)
-	}
-	h.Set(hopCode, formatCode(r.code))
-	h.Set(hopTook, formatMilliseconds(r.took))
+	h.Set(hopHeader, n.formatAnswer(c, r, time.Now()))
 	n.logRun(c, r)
 	if r.code != crcode.OK {
 		h.Set(names.RequestID, c.id)
-		h.Set(hopRetryIn, formatMilliseconds(r.retryIn))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, r.detail)
 		return
--- /dev/null
+++ b/internal/crforward/hopline.go
@@ -0,0 +1,179 @@
+package crforward
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crcost"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crshed"
+)
+
+// Fields of the line of a call, in this order.
+const (
+	callService = iota
+	callRoute
+	callLeft
+	callRank
+	callCaller
+	callFlags
+	callFields
+)
+
+const flagOnce = "o"
+
+// formatCall writes what the gate needs to know of a call.
+func formatCall(c *call, now time.Time) string {
+	flags := ""
+	if c.once {
+		flags += flagOnce
+	}
+	return strings.Join([]string{
+		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
+		strconv.FormatUint(uint64(c.rank), 36), url.QueryEscape(c.caller), flags,
+	}, ";")
+}
+
+func parseCall(line string, c *call, now time.Time) error {
+	f := strings.Split(line, ";")
+	if len(f) != callFields {
+		return crcode.New(crcode.MalformedMessage, "a call from another node has %d fields", len(f))
+	}
+	left, ok := milliseconds(f[callLeft])
+	rank, err := strconv.ParseUint(f[callRank], 36, 64)
+	if !ok || err != nil || f[callService] == "" {
+		return crcode.New(crcode.MalformedMessage, "a call from another node has malformed fields")
+	}
+	for i, to := range map[int]*string{callService: &c.service, callRoute: &c.route, callCaller: &c.caller} {
+		if *to, err = url.QueryUnescape(f[i]); err != nil {
+			return crcode.New(crcode.MalformedMessage, "a call from another node: %v", err)
+		}
+	}
+	c.deadline, c.rank = now.Add(left), cradmission.Priority(rank)
+	c.once = strings.Contains(f[callFlags], flagOnce)
+	return nil
+}
+
+// Fields of the line of an answer, in this order.
+const (
+	answerCode = iota
+	answerTook
+	answerRetry
+	answerLoad
+	answerIntensity
+	answerOrigin
+	answerBoard
+	answerCost
+	answerFields
+)
+
+// Bounds of what an answer tells of the load below.
+const (
+	// boardEntries bounds the services on an answer.
+	boardEntries = 4
+	// costEvery is how many answers there are to one that tells costs; they change slowly.
+	costEvery = 8
+)
+
+// formatAnswer writes how a call ended and what its sender may learn from it.
+func (n *Node) formatAnswer(c *call, r *reply, now time.Time) string {
+	load, intensity := "", ""
+	if r.load != nil {
+		load = fmt.Sprintf("%d,%d,%d", r.load.InFlight, r.load.Limit, r.load.Queued)
+		intensity = strconv.FormatFloat(r.intensity, 'f', 2, 64)
+	}
+	var board, cost []string
+	for _, e := range n.board.Entries(now, boardEntries) {
+		if e.Service != n.Settings.Service {
+			board = append(board, fmt.Sprintf("%s=%.2f/%d", url.QueryEscape(e.Service), e.Intensity, e.Age.Milliseconds()))
+		}
+	}
+	if n.answers.Add(1)%costEvery == 1 {
+		for service, seconds := range n.ledger.Cost(c.route) {
+			cost = append(cost, fmt.Sprintf("%s=%.0f", url.QueryEscape(service), seconds*1000))
+		}
+	}
+	return strings.Join([]string{
+		strconv.Itoa(int(r.code)), formatMilliseconds(r.took), formatMilliseconds(r.retryIn), load, intensity,
+		strconv.Itoa(int(r.origin)), strings.Join(board, ","), strings.Join(cost, ","),
+	}, ";")
+}
+
+func parseAnswer(line string, r *reply) error {
+	f := strings.Split(line, ";")
+	if len(f) != answerFields {
+		return crcode.New(crcode.MalformedMessage, "an answer of another node has %d fields", len(f))
+	}
+	code, err := strconv.ParseUint(f[answerCode], 10, 16)
+	took, okTook := milliseconds(f[answerTook])
+	retry, okRetry := milliseconds(f[answerRetry])
+	from, originErr := strconv.ParseUint(f[answerOrigin], 10, 8)
+	if err != nil || originErr != nil || !okTook || !okRetry {
+		return crcode.New(crcode.MalformedMessage, "an answer of another node has malformed fields")
+	}
+	r.code, r.took, r.retryIn, r.origin = crcode.Code(code), took, retry, origin(from)
+	if f[answerLoad] != "" {
+		r.load = &crrouter.Feedback{}
+		_, err = fmt.Sscanf(f[answerLoad], "%d,%d,%d", &r.load.InFlight, &r.load.Limit, &r.load.Queued)
+		if err == nil {
+			r.intensity, err = strconv.ParseFloat(f[answerIntensity], 64)
+		}
+	}
+	if err == nil {
+		r.board, err = parseBoard(f[answerBoard])
+	}
+	if err == nil {
+		r.cost, err = parseCost(f[answerCost])
+	}
+	if err != nil {
+		return crcode.New(crcode.MalformedMessage, "an answer of another node: %v", err)
+	}
+	return nil
+}
+
+// pairs splits a list of name=value.
+func pairs(list string, take func(name, value string) error) error {
+	if list == "" {
+		return nil
+	}
+	for _, p := range strings.Split(list, ",") {
+		name, value, _ := strings.Cut(p, "=")
+		name, err := url.QueryUnescape(name)
+		if err == nil {
+			err = take(name, value)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func parseBoard(list string) (out []crshed.Entry, err error) {
+	err = pairs(list, func(name, value string) error {
+		e := crshed.Entry{Service: name}
+		var age int64
+		_, err := fmt.Sscanf(value, "%f/%d", &e.Intensity, &age)
+		e.Age = time.Duration(age) * time.Millisecond
+		out = append(out, e)
+		return err
+	})
+	return out, err
+}
+
+func parseCost(list string) (out crcost.Vector, err error) {
+	err = pairs(list, func(name, value string) error {
+		ms, err := strconv.ParseFloat(value, 64)
+		if out == nil {
+			out = crcost.Vector{}
+		}
+		out[name] = ms / 1000
+		return err
+	})
+	return out, err
+}
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -1,7 +1,9 @@
 package crforward
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crdirectory"
@@ -43,6 +45,8 @@
 	node *Node
 	mu   sync.Mutex
 	all  map[string]*service
+	// present are the services with servers.
+	present atomic.Pointer[[]string]
 }
 
 func (s *services) get(name string) *service {
@@ -79,12 +83,37 @@
 	return out
 }
 
+// withServers returns the services that have servers, sorted.
+func (s *services) withServers() []string {
+	if names := s.present.Load(); names != nil {
+		return *names
+	}
+	return nil
+}
+
+// recount finds the services that have servers.
+func (s *services) recount() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name, v := range s.all {
+		v.mu.Lock()
+		if len(v.addresses) > 0 {
+			names = append(names, name)
+		}
+		v.mu.Unlock()
+	}
+	slices.Sort(names)
+	s.present.Store(&names)
+}
+
 // takeSubset takes the servers of a service from the directory.
 func (n *Node) takeSubset(name string, entries []*crwire.DirectoryEntry) {
 	now := time.Now()
 	s := n.services.get(name)
 	servers := s.update(now, entries)
 	s.router.Update(now, servers)
+	n.services.recount()
 	n.peers.retain(n.services.known())
 	n.Log.Emit(now, crevent.State, crevent.ServersChanged, crevent.KeyService, name, crevent.KeyCount, len(servers), crevent.KeyOf, len(entries))
 }
--- /dev/null
+++ b/pkg/crcost/crcost.go
@@ -0,0 +1,240 @@
+// Package crcost learns what one run of a kind of work takes of each service, its calls to deeper services included.
+// Calls carry no token of the run that makes them, so a node attributes them by how many calls are outstanding while how
+// many runs of each kind are on its server: a regression that needs neither names nor order in time.
+//
+// It answers the load pattern in which a cheap request makes many calls in a chain and the service at the end of the
+// chain is the one that is short: what is refused must be chosen by the time of that service, before the first call.
+package crcost
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Bounds of what is learned.
+const (
+	// maxKinds bounds the kinds of work and of calls of one server; further ones are not attributed.
+	maxKinds = 16
+	// memory is the time constant with which samples are forgotten: long enough for a few hundred independent samples,
+	// short enough to follow a changed program.
+	memory = 20 * time.Second
+	// ridge is added to the diagonal, in samples; a kind that was hardly seen is attributed nothing.
+	ridge = 2.0
+	// smoothing is the weight of one measurement in a moving average.
+	smoothing = 0.05
+)
+
+// Vector holds seconds of service time by service.
+type Vector map[string]float64
+
+// Ledger learns the costs of the kinds of work of one server. It is safe for concurrent use.
+type Ledger struct {
+	// Service is that of the server.
+	Service string
+
+	mu      sync.Mutex
+	kinds   []string
+	calls   []string
+	running map[string]int
+	out     map[string]int
+	// times are mean run times of kinds, waits mean times that calls take, below the vectors of calls.
+	times, waits map[string]float64
+	below        map[string]Vector
+	// gram and cross are the sums of the regression of outstanding calls on runs.
+	gram  [maxKinds][maxKinds]float64
+	cross [maxKinds][maxKinds]float64
+	// share is the solution: outstanding calls of a kind of call for each run of a kind of work.
+	share    [maxKinds][maxKinds]float64
+	sampled  time.Time
+	solvedAt time.Time
+}
+
+func (l *Ledger) init() {
+	if l.running == nil {
+		l.running, l.out = map[string]int{}, map[string]int{}
+		l.times, l.waits, l.below = map[string]float64{}, map[string]float64{}, map[string]Vector{}
+	}
+}
+
+// Started counts a run of a kind on the server.
+func (l *Ledger) Started(kind string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.running[kind]++
+	note(&l.kinds, kind)
+}
+
+// Ended counts the end of a run; a run that failed tells nothing about the time.
+func (l *Ledger) Ended(kind string, took time.Duration, good bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.running[kind] = max(l.running[kind]-1, 0)
+	if good {
+		average(l.times, kind, took.Seconds())
+	}
+}
+
+// CallStarted counts a call that the server makes.
+func (l *Ledger) CallStarted(kind string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.out[kind]++
+	note(&l.calls, kind)
+}
+
+// CallEnded counts the end of a call; below is what the answer told of its own costs, nil for nothing.
+func (l *Ledger) CallEnded(kind string, took time.Duration, good bool, below Vector) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.out[kind] = max(l.out[kind]-1, 0)
+	if good {
+		average(l.waits, kind, took.Seconds())
+	}
+	if below != nil {
+		l.below[kind] = below
+	}
+}
+
+func note(list *[]string, name string) {
+	if len(*list) < maxKinds && !slices.Contains(*list, name) {
+		*list = append(*list, name)
+	}
+}
+
+func average(m map[string]float64, key string, v float64) {
+	old, ok := m[key]
+	if !ok {
+		m[key] = v
+		return
+	}
+	m[key] = old + smoothing*(v-old)
+}
+
+// SampleInterval is how often Sample should be called: a few times in the shortest usual run.
+const SampleInterval = 20 * time.Millisecond
+
+// solveInterval is the time between solutions of the regression.
+const solveInterval = 500 * time.Millisecond
+
+// Sample takes the present runs and outstanding calls into the regression.
+func (l *Ledger) Sample(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	keep := 1.0
+	if !l.sampled.IsZero() {
+		keep = max(0, 1-float64(now.Sub(l.sampled))/float64(memory))
+	}
+	l.sampled = now
+	for i, a := range l.kinds {
+		for j, b := range l.kinds {
+			l.gram[i][j] = keep*l.gram[i][j] + float64(l.running[a]*l.running[b])
+		}
+		for j, c := range l.calls {
+			l.cross[i][j] = keep*l.cross[i][j] + float64(l.running[a]*l.out[c])
+		}
+	}
+	if now.Sub(l.solvedAt) >= solveInterval {
+		l.solvedAt = now
+		l.solve()
+	}
+}
+
+// solve finds the shares by least squares; negative ones count as none.
+func (l *Ledger) solve() {
+	n := len(l.kinds)
+	for j := range l.calls {
+		var a [maxKinds][maxKinds + 1]float64
+		for i := range n {
+			copy(a[i][:n], l.gram[i][:n])
+			a[i][i] += ridge
+			a[i][n] = l.cross[i][j]
+		}
+		eliminate(&a, n)
+		for i := range n {
+			l.share[i][j] = max(0, a[i][n])
+		}
+	}
+}
+
+// eliminate solves the linear system of n rows whose right side is in column n.
+func eliminate(a *[maxKinds][maxKinds + 1]float64, n int) {
+	for col := range n {
+		pivot := col
+		for r := col + 1; r < n; r++ {
+			if abs(a[r][col]) > abs(a[pivot][col]) {
+				pivot = r
+			}
+		}
+		a[col], a[pivot] = a[pivot], a[col]
+		if abs(a[col][col]) < 1e-12 {
+			continue
+		}
+		for r := range n {
+			if r == col {
+				continue
+			}
+			f := a[r][col] / a[col][col]
+			for c := col; c <= n; c++ {
+				a[r][c] -= f * a[col][c]
+			}
+		}
+	}
+	for i := range n {
+		if abs(a[i][i]) >= 1e-12 {
+			a[i][n] /= a[i][i]
+		}
+	}
+}
+
+func abs(x float64) float64 { return max(x, -x) }
+
+// minCost is the smallest cost that is told, in seconds; less is within the error of the attribution.
+const minCost = 0.002
+
+// Cost returns what one run of the kind takes of each service, the server's own included.
+func (l *Ledger) Cost(kind string) Vector {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	t, ok := l.times[kind]
+	if !ok {
+		return nil
+	}
+	v := Vector{l.Service: t}
+	i := slices.Index(l.kinds, kind)
+	if i < 0 {
+		return v
+	}
+	for j, c := range l.calls {
+		wait := l.waits[c]
+		if wait <= 0 || l.share[i][j] <= 0 {
+			continue
+		}
+		calls := l.share[i][j] * t / wait
+		for service, seconds := range l.below[c] {
+			v[service] += calls * seconds
+		}
+	}
+	for service, seconds := range v {
+		if seconds < minCost {
+			delete(v, service)
+		}
+	}
+	return v
+}
+
+// Top returns at most n services of the vector, the costliest first.
+func (v Vector) Top(n int) []string {
+	names := slices.SortedFunc(maps.Keys(v), func(a, b string) int {
+		return cmp.Or(cmp.Compare(v[b], v[a]), cmp.Compare(a, b))
+	})
+	return names[:min(n, len(names))]
+}
--- /dev/null
+++ b/pkg/crshed/crshed_test.go
@@ -0,0 +1,92 @@
+package crshed_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/pkg/crshed"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestOverload replays a demand of twice the slots that lasts 20 s and then falls to half of them. Work that is let in
+// occupies the server a chain's run time later. It guards against a regulator that swings, lets the server stay flooded
+// or goes on turning work away when there is room.
+func TestOverload(t *testing.T) {
+	const slots, delay = 60, 7 // ticks from the entrance to the server
+	r := &crshed.Regulator{}
+	var pipe [delay]float64
+	flooded, idle := 0, 0
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * crshed.TickInterval)
+		offered := 2.0
+		if i >= 200 {
+			offered = 0.5
+		}
+		// Four tenths of the slots are asked for by a more important kind that is never turned away.
+		vital := 0.4 * offered / 2
+		let := vital + (offered-vital)*(1-crshed.Shed(r.Intensity(), 0))
+		load := pipe[i%delay]
+		pipe[i%delay] = let
+		r.Occupied(now, int(load*slots), 0, slots)
+		r.Tick(now.Add(crshed.TickInterval))
+		if i >= 50 && i < 200 && load > 1.1 {
+			flooded++
+		}
+		if i >= 50 && i < 200 && load < 0.6 {
+			idle++
+		}
+	}
+	qt.Assert(t, flooded < 8, qt.IsTrue, qt.Commentf("%d of 150 steps flooded", flooded))
+	qt.Assert(t, idle < 8, qt.IsTrue, qt.Commentf("%d of 150 steps idle", idle))
+	qt.Assert(t, r.Intensity() < 0.02, qt.IsTrue, qt.Commentf("intensity %v 20 s after the end", r.Intensity()))
+}
+
+// TestRefused guards against a gate that refuses a lot and therefore looks as if it had room.
+func TestRefused(t *testing.T) {
+	r := &crshed.Regulator{}
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * crshed.TickInterval)
+		r.Occupied(now, 10, 0, 20)
+		for range 100 {
+			r.Refused(20 * time.Millisecond)
+		}
+		r.Tick(now.Add(crshed.TickInterval))
+	}
+	qt.Assert(t, r.Intensity() > 0.3, qt.IsTrue, qt.Commentf("%v", r.Intensity()))
+}
+
+// TestOrder guards against a more important priority that loses work while a less important one does not, and against
+// one that is turned away entirely.
+func TestOrder(t *testing.T) {
+	s := &crshed.Shares{}
+	in := map[int]int{}
+	for i := range 3000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		for _, p := range []int{0, 1, 2} {
+			if s.Admit(now, string(rune('a'+p)), "deep", p, 1.2) {
+				in[p]++
+			}
+		}
+	}
+	qt.Assert(t, in[0], qt.Equals, 3000)
+	qt.Assert(t, in[1] > 2000 && in[1] < 2200, qt.IsTrue, qt.Commentf("%v", in))
+	qt.Assert(t, in[2] > 290 && in[2] < 310, qt.IsTrue, qt.Commentf("%v", in))
+}
+
+// TestBoard guards against news that older ones replace, and against an intensity that outlives its gate.
+func TestBoard(t *testing.T) {
+	b := &crshed.Board{}
+	b.Passed(start, "deep", 0.8, 100*time.Millisecond)
+	b.Passed(start, "deep", 0.2, 300*time.Millisecond)
+	qt.Assert(t, b.Intensity(start, "deep"), qt.Equals, 0.8)
+	b.Heard(start, "deep", "g1", 0.5)
+	b.Heard(start, "deep", "g2", 0.3)
+	qt.Assert(t, b.Intensity(start, "deep"), qt.Equals, 0.4)
+	e := b.Entries(start.Add(time.Second), 4)
+	qt.Assert(t, e, qt.DeepEquals, []crshed.Entry{{Service: "deep", Intensity: 0.4, Age: time.Second}})
+	qt.Assert(t, b.Intensity(start.Add(time.Minute), "deep"), qt.Equals, 0.0)
+	qt.Assert(t, b.Entries(start.Add(time.Minute), 4), qt.HasLen, 0)
+}
