crshed, crforward: regulate by occupancy, eject on fair evidence, leave headroom of slots

Change: proportional and integral regulation in which only a lasting error reaches a further priority; a time-out speaks against a server only after three times its usual time, a failure not when a call of the server failed meanwhile; 94% of the slots are used; a route of unknown cost is held to use every service. internal/crreplay replays a load in virtual time against the same decision code.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -68,7 +68,9 @@
 	board     []crshed.Entry
 	cost      crcost.Vector
 	origin    origin
-	close     func()
+	// excused tells that the server's failure may be that of a call that it made.
+	excused bool
+	close   func()
 }
 
 func refuse(code crcode.Code, detail string) *reply { return &reply{code: code, detail: detail} }
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -97,7 +97,9 @@
 	origins   routeOrigins
 	ledger    *crcost.Ledger
 	answers   atomic.Uint64
-	stopping  atomic.Bool
+	// callFailed is when a call of the backend server failed last, in Unix nanoseconds.
+	callFailed atomic.Int64
+	stopping   atomic.Bool
 	// inFlight counts the requests at the entrance.
 	inFlight atomic.Int64
 
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -126,7 +126,11 @@
 	start := time.Now()
 	n.ledger.CallStarted(c.route)
 	r, tries := n.place(ctx, c, route)
-	n.ledger.CallEnded(c.route, time.Since(start), r.code == crcode.OK && r.status < 500, n.costs.of(c.route))
+	good := r.code == crcode.OK && r.status < 500
+	if !good {
+		n.callFailed.Store(time.Now().UnixNano())
+	}
+	n.ledger.CallEnded(c.route, time.Since(start), good, n.costs.of(c.route))
 	return r, tries
 }
 
@@ -147,7 +151,12 @@
 		}
 		last := r
 		r = n.send(ctx, s.address(server.ID), c)
-		s.router.Done(time.Now(), server.ID, routerResult(r, time.Since(now)))
+		took := time.Since(now)
+		usual := s.usually(c.route)
+		s.router.Done(time.Now(), server.ID, routerResult(r, took, usual))
+		if r.code == crcode.OK && r.status < 500 {
+			s.answered(c.route, took)
+		}
 		n.learn(time.Now(), server.ID, c, r)
 		if r.code == crcode.OK && (r.status < 500 || c.once) {
 			return r, tries
@@ -183,6 +192,11 @@
 		return false
 	case r.code == crcode.DeadlineExpired || r.code == crcode.QueueTimeout:
 		return false
+	case c.deadline.Sub(now) < s.usually(c.route):
+		return false
+	case r.excused:
+		// What failed is deeper down, and another server's calls end there as well.
+		return false
 	case sent == 0:
 		// No server has seen the call, so another gate costs no repeat.
 		return true
@@ -207,22 +221,29 @@
 	return last
 }
 
-func routerResult(r *reply, took time.Duration) crrouter.Result {
+// fairTime is how many times its usual time a server must have had before a time-out speaks against it; less was left
+// because earlier work of the chain was late.
+const fairTime = 3
+
+func routerResult(r *reply, took, usual time.Duration) crrouter.Result {
 	res := crrouter.Result{Latency: took, Feedback: r.load}
+	timedOut := r.code == crcode.DeadlineRunning || r.code == crcode.OK && r.status == http.StatusGatewayTimeout
 	if r.took > 0 {
 		res.Latency = r.took
 	}
 	switch {
 	case r.code == crcode.OK && r.status < 500:
 		res.Kind = crrouter.OK
+	case r.excused || timedOut && took < fairTime*usual:
+		res.Kind = crrouter.Refused
+	case timedOut:
+		res.Kind = crrouter.TimedOut
 	case r.code == crcode.OK:
 		res.Kind = crrouter.Failed
 	case r.code == crcode.Cancelled || r.code == crcode.CancelledRun:
 		res.Kind = crrouter.Cancelled
 	case r.code == crcode.NoServer || r.code == crcode.StaleIncarnation:
 		res.Kind = crrouter.Unreachable
-	case r.code == crcode.DeadlineRunning:
-		res.Kind = crrouter.TimedOut
 	case r.code.Outcome() == crcode.NotRun:
 		res.Kind = crrouter.Refused
 	default:
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -26,9 +27,11 @@
 	downFor = 250 * time.Millisecond
 	// queuePerSlot bounds the queue by the slots; what waits longer than that cannot be in time.
 	queuePerSlot = 4
-	// freshIdle is how long an idle connection may be used for a request that must not be repeated: a server that closes
-	// it at the same moment leaves unknown whether the request ran.
+	// maxServerIdle bounds the idle time of a connection to the server when it names none itself.
 	maxServerIdle = 8 * time.Second
+	// slotShare is the part of a server's slots that is used: some servers slow down when they are nearly full, by more
+	// than the last slots bring.
+	slotShare = 0.94
 	// watchInterval is the time between looks at the age of the last report.
 	watchInterval = 250 * time.Millisecond
 )
@@ -47,6 +50,9 @@
 	missed    bool
 	regulator *crshed.Regulator
 	origins   origins
+	// told is the intensity on the last line, at toldAt; both belong to the goroutine that steps.
+	told   float64
+	toldAt time.Time
 }
 
 // waiter is a queued call.
@@ -67,7 +73,7 @@
 	case reportJoined:
 		g.renew(r)
 	case reportRenewed, reportDrains:
-		g.limiter.Announce(now, r.Slots)
+		g.limiter.Announce(now, limitOf(r.Slots))
 		if next.Draining {
 			g.empty(crcode.Leaving)
 		}
@@ -81,13 +87,17 @@
 	return verdict
 }
 
+// limitOf returns how many runs a server with the slots gets at once.
+func limitOf(slots int) int { return max(1, int(float64(slots)*slotShare)) }
+
 // renew makes the parts for a new lifetime; calls that wait for the old one are refused. The lock is held.
 func (g *gate) renew(r Report) {
 	if g.client != nil {
 		g.client.Close()
 	}
 	g.empty(crcode.Leaving)
-	g.limiter = &crlimiter.Limiter{Slots: r.Slots, Min: r.Slots, Max: r.Slots}
+	limit := limitOf(r.Slots)
+	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
 	g.regulator.Start(g.node.board.Intensity(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queuePerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -275,9 +285,27 @@
 	g.regulator.Occupied(now, g.limiter.InFlight(), g.queue.Len(), g.limiter.Limit())
 }
 
+// Figures of the lines that tell of the regulation.
+const (
+	// shareStep is the change of the intensity that is told, and shareEvery the least time between two lines.
+	shareStep  = 0.1
+	shareEvery = time.Second
+)
+
 // step steps the regulator.
 func (g *gate) step(now time.Time) {
 	g.regulator.Tick(now)
+	intensity := g.regulator.Intensity()
+	if math.Abs(intensity-g.told) < shareStep || now.Sub(g.toldAt) < shareEvery {
+		return
+	}
+	g.told, g.toldAt = intensity, now
+	l := g.load()
+	if l == nil {
+		return
+	}
+	g.node.Log.Emit(now, crevent.State, crevent.ShareChanged, crevent.KeyService, g.node.Settings.Service, crevent.KeyShare, intensity,
+		crevent.KeyDetail, g.regulator.Demand(), crevent.KeyRunning, l.InFlight, crevent.KeyQueue, l.Queued, crevent.KeySlots, l.Limit)
 }
 
 // load returns what answers tell of this gate.
@@ -308,7 +336,9 @@
 		return r
 	}
 	g.node.ledger.Started(c.route)
+	started := time.Now()
 	r := g.exchange(ctx, c, l, waited)
+	r.excused = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.Ended(c.route, r.took, r.code == crcode.OK && r.status < 500)
 	r.origin = from
 	r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -67,6 +67,7 @@
 	answerLoad
 	answerIntensity
 	answerOrigin
+	answerExcused
 	answerBoard
 	answerCost
 	answerFields
@@ -78,11 +79,16 @@
 	boardEntries = 4
 	// costEvery is how many answers there are to one that tells costs; they change slowly.
 	costEvery = 8
+	// costFirst is how many answers after the start tell costs each, so that entrances learn them within a second.
+	costFirst = 256
 )
 
 // formatAnswer writes how a call ended and what its sender may learn from it.
 func (n *Node) formatAnswer(c *call, r *reply, now time.Time) string {
-	load, intensity := "", ""
+	load, intensity, excused := "", "", ""
+	if r.excused {
+		excused = "1"
+	}
 	if r.load != nil {
 		load = fmt.Sprintf("%d,%d,%d", r.load.InFlight, r.load.Limit, r.load.Queued)
 		intensity = strconv.FormatFloat(r.intensity, 'f', 2, 64)
@@ -93,14 +99,14 @@
 			board = append(board, fmt.Sprintf("%s=%.2f/%d", url.QueryEscape(e.Service), e.Intensity, e.Age.Milliseconds()))
 		}
 	}
-	if n.answers.Add(1)%costEvery == 1 {
+	if k := n.answers.Add(1); k < costFirst || k%costEvery == 0 {
 		for service, seconds := range n.ledger.Cost(c.route) {
 			cost = append(cost, fmt.Sprintf("%s=%.0f", url.QueryEscape(service), seconds*1000))
 		}
 	}
 	return strings.Join([]string{
 		strconv.Itoa(int(r.code)), formatMilliseconds(r.took), formatMilliseconds(r.retryIn), load, intensity,
-		strconv.Itoa(int(r.origin)), strings.Join(board, ","), strings.Join(cost, ","),
+		strconv.Itoa(int(r.origin)), excused, strings.Join(board, ","), strings.Join(cost, ","),
 	}, ";")
 }
 
@@ -117,6 +123,7 @@
 		return crcode.New(crcode.MalformedMessage, "an answer of another node has malformed fields")
 	}
 	r.code, r.took, r.retryIn, r.origin = crcode.Code(code), took, retry, origin(from)
+	r.excused = f[answerExcused] != ""
 	if f[answerLoad] != "" {
 		r.load = &crrouter.Feedback{}
 		_, err = fmt.Sscanf(f[answerLoad], "%d,%d,%d", &r.load.InFlight, &r.load.Limit, &r.load.Queued)
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -74,7 +74,12 @@
 // binding returns the service that turns most of a route's work away, of those that its requests use.
 func (n *Node) binding(now time.Time, route *crroute.Route, service string) (string, float64) {
 	best, intensity := service, 0.0
-	for s, seconds := range n.costs.of(route.Name) {
+	costs := n.costs.of(route.Name)
+	if costs == nil {
+		// Until its cost is known a route is held to use every service.
+		costs = n.services.everything()
+	}
+	for s, seconds := range costs {
 		if seconds < bindingCost {
 			continue
 		}
@@ -101,6 +106,11 @@
 	return &reply{code: crcode.Overloaded, detail: "shed", retryIn: retryBase + time.Duration(intensity*float64(retryPerIntensity))}
 }
 
+// callFailedSince reports whether a call of the backend server has failed since the time.
+func (n *Node) callFailedSince(t time.Time) bool {
+	return n.callFailed.Load() >= t.UnixNano()
+}
+
 // measure samples the runs and calls of the backend server and steps the regulator of its gate until ctx ends.
 func (n *Node) measure(ctx context.Context) {
 	tick := time.NewTicker(crcost.SampleInterval)
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -10,6 +10,7 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crbudget"
+	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 )
 
@@ -32,6 +33,8 @@
 	// addresses are the gates by node, instances the lifetimes of the servers.
 	addresses map[string]string
 	instances map[string]instance
+	// usual are the mean times of good answers by route, in seconds.
+	usual map[string]float64
 }
 
 // instance is a lifetime of a server and when this node learned of it.
@@ -62,6 +65,7 @@
 			name: name, router: &crrouter.Router{Domain: set.Domain},
 			retries:   &crbudget.Ratio{PerSuccess: set.RetryRatio * retryShare, PerSecond: 1e-6, Burst: retrySaved},
 			addresses: map[string]string{}, instances: map[string]instance{},
+			usual: map[string]float64{},
 		}
 		s.all[name] = v
 	}
@@ -91,6 +95,15 @@
 	return nil
 }
 
+// everything returns all services with servers as if a route took a second of each.
+func (s *services) everything() crcost.Vector {
+	v := crcost.Vector{}
+	for _, name := range s.withServers() {
+		v[name] = 1
+	}
+	return v
+}
+
 // recount finds the services that have servers.
 func (s *services) recount() {
 	s.mu.Lock()
@@ -142,6 +155,27 @@
 	return out
 }
 
+// usualSmoothing is the weight of one answer in the mean time of a route.
+const usualSmoothing = 0.05
+
+// answered counts a good answer to a request of the route.
+func (s *service) answered(route string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.usual[route]
+	if !ok {
+		old = took.Seconds()
+	}
+	s.usual[route] = old + usualSmoothing*(took.Seconds()-old)
+}
+
+// usually returns the mean time of good answers to requests of the route; zero means unknown.
+func (s *service) usually(route string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.usual[route] * float64(time.Second))
+}
+
 func (s *service) address(node string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/crreplay/model.go
@@ -0,0 +1,468 @@
+package crreplay
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crshed"
+)
+
+// event is a moment of the replay; order keeps events of the same time in the order in which they were made.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// model is the state of a replay.
+type model struct {
+	load    *Load
+	rnd     *rand.Rand
+	now     time.Duration
+	order   int
+	events  events
+	kinds   map[string]*Kind
+	servers map[string][]*server
+	nodes   []*node
+	costs   map[string]map[string]float64
+	rows    map[string]*Row
+	busy    map[string]float64
+}
+
+// node is an entrance, and the node of a server when there is one beside it.
+type node struct {
+	board   crshed.Board
+	shares  crshed.Shares
+	routers map[string]*crrouter.Router
+}
+
+// server is one server with its gate.
+type server struct {
+	id        string
+	service   *Service
+	speed     float64
+	node      *node
+	running   int
+	queue     cradmission.Queue
+	regulator crshed.Regulator
+	counted   time.Duration
+}
+
+// work is one request or call.
+type work struct {
+	kind     *Kind
+	node     *node
+	deadline time.Duration
+	deeper   bool
+	done     func(good, refused bool)
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func (m *model) clock() time.Time { return epoch.Add(m.now) }
+
+func (m *model) after(d time.Duration, f func()) {
+	m.order++
+	heap.Push(&m.events, event{m.now + d, m.order, f})
+}
+
+func newModel(l *Load, rnd *rand.Rand) *model {
+	m := &model{
+		load: l, rnd: rnd, kinds: map[string]*Kind{}, servers: map[string][]*server{}, costs: map[string]map[string]float64{},
+		rows: map[string]*Row{}, busy: map[string]float64{},
+	}
+	for range l.Nodes {
+		m.nodes = append(m.nodes, &node{routers: map[string]*crrouter.Router{}})
+	}
+	next := 0
+	for i := range l.Services {
+		s := &l.Services[i]
+		for j, speed := range s.Speeds {
+			m.servers[s.Name] = append(m.servers[s.Name], &server{
+				id: s.Name + strconv.Itoa(j), service: s, speed: speed, node: m.nodes[next%l.Nodes],
+				queue: cradmission.Queue{Length: 4 * s.Slots, MaxWait: time.Minute},
+			})
+			next++
+		}
+	}
+	for i := range l.Kinds {
+		m.kinds[l.Kinds[i].Name] = &l.Kinds[i]
+		m.rows[l.Kinds[i].Name] = &Row{Kind: l.Kinds[i].Name}
+	}
+	for name := range m.kinds {
+		m.costs[name] = map[string]float64{}
+		m.cost(name, 1, m.costs[name])
+	}
+	for i := range l.Kinds {
+		if k := &l.Kinds[i]; k.Rate > 0 {
+			m.arrivals(k)
+		}
+	}
+	m.after(crshed.TickInterval, m.tick)
+	return m
+}
+
+// cost adds the seconds of each service that times runs of a kind take.
+func (m *model) cost(kind string, times float64, to map[string]float64) {
+	k := m.kinds[kind]
+	to[k.Service] += times * time.Duration(k.Work).Seconds()
+	for _, c := range k.Calls {
+		m.cost(c.Kind, times*float64(c.Times), to)
+	}
+}
+
+func (m *model) phase(apply func(p Phase)) {
+	for _, p := range m.load.Phases {
+		if m.now >= time.Duration(p.At) && m.now < time.Duration(p.At+p.For) {
+			apply(p)
+		}
+	}
+}
+
+// arrivals makes the requests of clients of a kind.
+func (m *model) arrivals(k *Kind) {
+	rate := k.Rate
+	m.phase(func(p Phase) {
+		if p.Rate > 0 {
+			rate *= p.Rate
+		}
+	})
+	m.after(time.Duration(m.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
+		if m.now < time.Duration(m.load.Length) {
+			m.request(k)
+			m.arrivals(k)
+		}
+	})
+}
+
+// request is one client's request with what it does after a refusal.
+func (m *model) request(k *Kind) {
+	row := m.rows[k.Name]
+	row.Asked++
+	row.Owed += k.Worth
+	abuse := 0.0
+	m.phase(func(p Phase) { abuse = max(abuse, p.Abuse) })
+	left := 1
+	abuser := m.rnd.Float64() < abuse
+	if abuser {
+		left = 3
+	}
+	first := m.now
+	at := m.nodes[m.rnd.IntN(len(m.nodes))]
+	var try func()
+	try = func() {
+		m.enter(k, at, func(good, refused bool) {
+			took := m.now - first
+			switch {
+			case good && took <= time.Duration(k.Target):
+				row.InTime++
+				row.Worth += k.Worth
+			case good:
+				row.Late++
+				row.Worth += k.Late
+			case refused && left > 0 && took < time.Duration(k.Patience):
+				left--
+				wait := (time.Duration(k.Patience) - took) / 3
+				if hint := 300*time.Millisecond + time.Duration(m.rnd.Int64N(int64(time.Second))); hint < wait {
+					wait = hint
+				}
+				if abuser {
+					wait = 0
+				}
+				m.after(wait, try)
+			case refused:
+				row.Refused++
+			default:
+				row.Failed++
+			}
+		})
+	}
+	try()
+}
+
+// enter is the entrance of a request of a client.
+func (m *model) enter(k *Kind, at *node, done func(good, refused bool)) {
+	if m.load.Control == ControlShed {
+		service, intensity := k.Service, at.board.Intensity(m.clock(), k.Service)
+		for s := range m.costs[k.Name] {
+			if v := at.board.Intensity(m.clock(), s); v > intensity || v == intensity && s > service {
+				service, intensity = s, v
+			}
+		}
+		if !at.shares.Admit(m.clock(), k.Name, service, k.Priority, intensity) {
+			done(false, true)
+			return
+		}
+	}
+	m.send(&work{kind: k, node: at, deadline: m.now + time.Duration(k.Timeout), done: done}, nil)
+}
+
+// send places work on a server, and on another one when the first gate refuses.
+func (m *model) send(w *work, tried []string) {
+	r := w.node.routers[w.kind.Service]
+	if r == nil {
+		r = &crrouter.Router{Rand: m.rnd}
+		var list []crrouter.Server
+		for _, s := range m.servers[w.kind.Service] {
+			list = append(list, crrouter.Server{ID: s.id, Slots: s.service.Slots})
+		}
+		r.Update(m.clock(), list)
+		w.node.routers[w.kind.Service] = r
+	}
+	picked, err := r.Pick(m.clock(), crrouter.Request{Tried: tried})
+	if err != nil {
+		w.done(false, true)
+		return
+	}
+	i := slices.IndexFunc(m.servers[w.kind.Service], func(s *server) bool { return s.id == picked.ID })
+	s := m.servers[w.kind.Service][i]
+	sent := m.now
+	answer := func(good, refused bool) {
+		intensity, entries := s.regulator.Intensity(), s.node.board.Entries(m.clock(), 4)
+		load := &crrouter.Feedback{InFlight: s.running, Limit: s.service.Slots, Queued: s.queue.Len()}
+		m.after(time.Duration(m.load.Hop), func() {
+			w.node.board.Heard(m.clock(), s.service.Name, s.id, intensity)
+			for _, e := range entries {
+				if e.Service != s.service.Name {
+					w.node.board.Passed(m.clock(), e.Service, e.Intensity, e.Age)
+				}
+			}
+			end := crrouter.Failed
+			if good {
+				end = crrouter.OK
+			}
+			if refused {
+				end = crrouter.Refused
+			}
+			r.Done(m.clock(), s.id, crrouter.Result{Kind: end, Latency: m.now - sent, Feedback: load})
+			if refused && len(tried) < 1 && m.now < w.deadline {
+				m.send(w, append(tried, s.id))
+				return
+			}
+			w.done(good, refused)
+		})
+	}
+	m.after(time.Duration(m.load.Hop), func() { m.arrive(s, w, answer) })
+}
+
+// expected returns the time of a run on a server without its calls.
+func (m *model) expected(s *server, k *Kind) time.Duration {
+	slow := 1.0
+	m.phase(func(p Phase) {
+		if p.Service == s.service.Name && p.Slow > 0 {
+			slow *= p.Slow
+		}
+	})
+	return time.Duration(float64(k.Work) * slow / s.speed)
+}
+
+// arrive is the gate.
+func (m *model) arrive(s *server, w *work, answer func(good, refused bool)) {
+	run := func() {
+		s.running++
+		m.occupied(s)
+		m.run(s, w, func(good bool) {
+			s.running--
+			answer(good, false)
+			m.grant(s)
+			m.occupied(s)
+		})
+	}
+	if s.running < s.service.Slots && s.queue.Len() == 0 {
+		run()
+		return
+	}
+	need := m.expected(s, w.kind)
+	ahead := time.Duration(float64(need) * float64(s.queue.Len()+1) / float64(s.service.Slots))
+	if m.now+ahead+need > w.deadline {
+		s.regulator.Refused(need)
+		answer(false, true)
+		return
+	}
+	class := cradmission.Ordinary
+	if w.deeper {
+		class = cradmission.Protected
+	}
+	it := &cradmission.Item{Priority: cradmission.NewPriority(class, uint32(1000-w.kind.Priority), strconv.Itoa(m.order)), Deadline: epoch.Add(w.deadline - need)}
+	it.Value = func(granted bool) {
+		if granted {
+			run()
+			return
+		}
+		answer(false, true)
+	}
+	if refused := s.queue.Push(m.clock(), it); refused != nil {
+		s.regulator.Refused(need)
+		refused.Value.(func(bool))(false)
+	}
+	m.after(w.deadline-need-m.now, func() {
+		if s.queue.Remove(it) {
+			s.regulator.Refused(need)
+			answer(false, true)
+		}
+	})
+	m.occupied(s)
+}
+
+func (m *model) grant(s *server) {
+	for s.running < s.service.Slots {
+		it, ok := s.queue.Pop(m.clock())
+		if !ok {
+			return
+		}
+		it.Value.(func(bool))(true)
+	}
+}
+
+func (m *model) occupied(s *server) {
+	m.count(s)
+	s.regulator.Occupied(m.clock(), s.running, s.queue.Len(), s.service.Slots)
+}
+
+// count adds up busy slot seconds.
+func (m *model) count(s *server) {
+	m.busy[s.id] += float64(min(s.running, s.service.Slots)) * (m.now - s.counted).Seconds()
+	s.counted = m.now
+}
+
+// run does half of the work, the calls, and the other half; it ends at the deadline.
+func (m *model) run(s *server, w *work, done func(good bool)) {
+	ended := false
+	end := func(good bool) {
+		if !ended {
+			ended = true
+			done(good)
+		}
+	}
+	m.after(w.deadline-m.now, func() { end(false) })
+	spread := math.Exp(w.kind.Spread*m.rnd.NormFloat64() - w.kind.Spread*w.kind.Spread/2)
+	half := time.Duration(float64(m.expected(s, w.kind)) * spread / 2)
+	var calls [][]*Kind
+	for _, c := range w.kind.Calls {
+		k := m.kinds[c.Kind]
+		if c.Together {
+			calls = append(calls, slices.Repeat([]*Kind{k}, c.Times))
+			continue
+		}
+		for range c.Times {
+			calls = append(calls, []*Kind{k})
+		}
+	}
+	var step func(i int)
+	step = func(i int) {
+		if ended {
+			return
+		}
+		if i == len(calls) {
+			m.after(half, func() { end(true) })
+			return
+		}
+		waiting := len(calls[i])
+		for _, k := range calls[i] {
+			deadline := min(w.deadline, m.now+time.Duration(k.Timeout))
+			m.send(&work{kind: k, node: s.node, deadline: deadline, deeper: true, done: func(good, _ bool) {
+				if !good {
+					end(false)
+					return
+				}
+				if waiting--; waiting == 0 {
+					step(i + 1)
+				}
+			}}, nil)
+		}
+	}
+	m.after(half, func() { step(0) })
+}
+
+func (m *model) tick() {
+	for _, list := range m.servers {
+		for _, s := range list {
+			m.occupied(s)
+			s.regulator.Tick(m.clock())
+		}
+	}
+	if m.now < time.Duration(m.load.Length) {
+		m.after(crshed.TickInterval, m.tick)
+	}
+}
+
+// table sums up the replay.
+func (m *model) table() *Table {
+	t := &Table{Occupied: map[string]float64{}}
+	for i := range m.load.Kinds {
+		if k := &m.load.Kinds[i]; k.Rate > 0 {
+			t.Rows = append(t.Rows, *m.rows[k.Name])
+		}
+	}
+	seconds := time.Duration(m.load.Length).Seconds()
+	for name, list := range m.servers {
+		for _, s := range list {
+			t.Occupied[name] += m.busy[s.id] / seconds / float64(s.service.Slots*len(list))
+		}
+	}
+	t.Possible = m.possible()
+	return t
+}
+
+// possible fills the slots of the tightest service with the kinds worth most for its time, as a bound on what any control
+// could earn over the whole replay.
+func (m *model) possible() float64 {
+	best := 1.0
+	for _, s := range m.load.Services {
+		capacity := 0.0
+		for _, speed := range s.Speeds {
+			capacity += speed * float64(s.Slots) * time.Duration(m.load.Length).Seconds()
+		}
+		kinds := slices.Clone(m.load.Kinds)
+		slices.SortFunc(kinds, func(a, b Kind) int {
+			x, y := a.Worth/max(m.costs[a.Name][s.Name], 1e-9), b.Worth/max(m.costs[b.Name][s.Name], 1e-9)
+			if x > y {
+				return -1
+			}
+			return 1
+		})
+		worth, owed := 0.0, 0.0
+		for _, k := range kinds {
+			row := m.rows[k.Name]
+			need := float64(row.Asked) * m.costs[k.Name][s.Name]
+			part := 1.0
+			if need > 0 {
+				part = min(1, capacity/need)
+			}
+			capacity -= part * need
+			worth += part * row.Owed
+			owed += row.Owed
+		}
+		if owed > 0 {
+			best = min(best, worth/owed)
+		}
+	}
+	return best
+}
+
+// Name returns a short description of the load.
+func (l *Load) Name() string {
+	return fmt.Sprintf("%d nodes, %d services, %d kinds, %s", l.Nodes, len(l.Services), len(l.Kinds), time.Duration(l.Length))
+}
--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -121,7 +121,7 @@
 const SampleInterval = 20 * time.Millisecond
 
 // solveInterval is the time between solutions of the regression.
-const solveInterval = 500 * time.Millisecond
+const solveInterval = 200 * time.Millisecond
 
 // Sample takes the present runs and outstanding calls into the regression.
 func (l *Ledger) Sample(now time.Time) {
--- a/pkg/crshed/crshed.go
+++ b/pkg/crshed/crshed.go
@@ -20,18 +20,21 @@
 const (
 	// DefaultTarget is the part of a server's slots that may be occupied or asked for. With 15 slots a run that finds this
 	// load waits for less than a tenth of its own time (Erlang C); above it the wait grows fast.
-	DefaultTarget = 0.85
+	DefaultTarget = 0.9
 	// TickInterval is the time between steps of a regulator.
 	TickInterval = 100 * time.Millisecond
-	// rise and fall are the change of the intensity in a second at an error of one. An intensity works after the run time
-	// of a whole chain, half a second to a second, so a gain above 1.5 would swing; it falls more slowly, since refused
-	// work comes back.
-	rise = 0.7
-	fall = 0.35
+	// proportional is the intensity for an error of one, integral its growth in a second. Work that is let in occupies the
+	// bottleneck for the run time of a chain, half a second, and its effect is seen a quarter of a second later.
+	proportional = 0.8
+	integral     = 0.8
+	// integralNext is the growth once the least important priority is turned away as far as it may be: its effect is waited
+	// for before the next one loses work.
+	integralNext = 0.05
 	// MaxIntensity turns away nearly all of the three lowest priorities.
 	MaxIntensity = 3.0
-	// maxDemand bounds the error that a single step sees.
-	maxDemand = 2.5
+	// maxError bounds the error that a step sees: a long queue is worked off by what was let in before, so it asks for no
+	// more than a full stop of the least important work.
+	maxError = 1.0
 )
 
 // Regulator computes the intensity of one server.
@@ -39,8 +42,9 @@
 	// Target has a default.
 	Target float64
 
-	mu        sync.Mutex
-	intensity float64
+	mu sync.Mutex
+	// level is the integral part of the intensity.
+	level, intensity float64
 	// area is the integral of occupancy over the step, in slot seconds; asked that of refused runs.
 	area, asked float64
 	busy        float64
@@ -85,19 +89,22 @@
 	if dt <= 0 {
 		return
 	}
-	r.demand = min((r.area+r.asked)/(dt*float64(r.limit)), maxDemand)
+	r.demand = (r.area + r.asked) / (dt * float64(r.limit))
 	r.stepped, r.area, r.asked = now, 0, 0
 	target := r.Target
 	if target == 0 {
 		target = DefaultTarget
 	}
-	err, gain := r.demand-target, rise
-	if err < 0 {
-		gain = fall
-	}
+	err := min(r.demand-target, maxError)
 	// A process that stood still must not take one long step.
 	dt = min(dt, 3*TickInterval.Seconds())
-	r.intensity = min(max(r.intensity+gain*err*dt, 0), MaxIntensity)
+	gain := integral
+	if err > 0 && r.level >= maxShed {
+		gain = integralNext
+	}
+	r.level = min(max(r.level+gain*err*dt, 0), MaxIntensity)
+	// Only a lasting error reaches a further priority; a passing one turns away what already loses work.
+	r.intensity = min(max(r.level+proportional*err, 0), max(r.level, maxShed))
 }
 
 // Start sets the intensity that other gates of the service have, for a gate that starts.
@@ -105,6 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.intensity = min(max(intensity, 0), MaxIntensity)
+	r.level = r.intensity
 }
 
 // Intensity returns the present intensity; 0 turns nothing away.
