crforward, crcoord: tie nodes to two coordinators, bound the end of a stop

Change: two ties to different coordinators, the second for documents only; coordinators that failed lately are tried last; the end of a process is bounded after its last request. crcoord is tested with lost disks in a row, empty disks everywhere and a replacement at a new address.

--- a/internal/cradmin/cradmin.go
+++ b/internal/cradmin/cradmin.go
@@ -66,6 +66,24 @@
 	return nil
 }
 
+// Await runs the waits one after the other and reports whether they ended within the limit; a stop must not hang on a
+// peer that is silent.
+func Await(limit time.Duration, waits ...func()) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, w := range waits {
+			w()
+		}
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // Counters is a set of named expvar counters that belongs to one component, so that several can live in one process.
 type Counters struct {
 	vars expvar.Map
--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/cradmin"
@@ -55,6 +56,7 @@
 	replica   *crreplica.Replica
 	directory *crdirectory.Server
 	peers     peers
+	started   atomic.Bool
 
 	wg sync.WaitGroup
 }
@@ -68,6 +70,7 @@
 	defer cancel()
 	failed := make(chan error, 1)
 	c.start(duties, failed)
+	c.started.Store(true)
 	c.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyMember, c.replica.ID, crevent.KeyAddress, c.Settings.Address,
 		crevent.KeyVersion, c.version(), crevent.KeyCount, len(c.replica.Bootstrap))
 	var err error
@@ -161,10 +164,17 @@
 	c.replica.Stop(ctx)
 	cancel()
 	_ = c.Inner.Close()
-	c.endpoint.Close()
-	c.wg.Wait()
+	if !cradmin.Await(endLimit, c.endpoint.Close, c.wg.Wait) {
+		c.Log.Emit(time.Now(), crevent.State, crevent.Message, crevent.KeyDetail, "some duties have not ended")
+	}
 }
 
+// endLimit bounds the end of the duties after the hand-over.
+const endLimit = time.Second
+
+// Started reports whether Run has come far enough for the other methods.
+func (c *Coordinator) Started() bool { return c.started.Load() }
+
 func (c *Coordinator) version() uint64 {
 	d, _ := c.machine.Current()
 	return d.GetVersion()
--- /dev/null
+++ b/internal/crcoord/crcoord_test.go
@@ -0,0 +1,214 @@
+package crcoord_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crcoord"
+	"github.com/citronramp/citronramp/internal/crdocument"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crwire"
+)
+
+// core is a set of coordinators in one test process.
+type core struct {
+	t     *testing.T
+	dir   string
+	seeds []string
+	mu    sync.Mutex
+	procs map[string]*proc
+	disks int
+}
+
+type proc struct {
+	*crcoord.Coordinator
+	cancel context.CancelFunc
+	done   chan struct{}
+	log    *bytes.Buffer
+}
+
+func newCore(t *testing.T, n int) (*core, []string) {
+	c := &core{t: t, dir: t.TempDir(), procs: map[string]*proc{}}
+	var addresses []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		addresses = append(addresses, ln.Addr().String())
+		qt.Assert(t, ln.Close(), qt.IsNil)
+	}
+	c.seeds = addresses[:min(3, n)]
+	t.Cleanup(func() {
+		for a, p := range c.procs {
+			c.stop(a)
+			if t.Failed() {
+				t.Logf("%s\n%s", a, p.log)
+			}
+		}
+	})
+	return c, addresses
+}
+
+// start runs a coordinator at the address with the disk; a new disk is a lost one.
+func (c *core) start(address, disk string, first bool) *crcoord.Coordinator {
+	c.t.Helper()
+	inner, err := net.Listen("tcp", address)
+	qt.Assert(c.t, err, qt.IsNil)
+	api, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(c.t, err, qt.IsNil)
+	out := &bytes.Buffer{}
+	p := &proc{
+		Coordinator: &crcoord.Coordinator{
+			Settings: crcoord.Settings{
+				Name: "core-" + disk, Domain: address, Address: address, DataDir: filepath.Join(c.dir, disk), Seeds: c.seeds,
+				FirstStart: first, Losses: 1, StopTimeout: time.Second,
+			},
+			Inner: inner, API: api, Handler: http.NotFoundHandler(), Log: &crevent.Log{Out: out},
+		},
+		done: make(chan struct{}), log: out,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	c.mu.Lock()
+	c.procs[address] = p
+	c.mu.Unlock()
+	logs, ended := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		p.Coordinator.Log.Run(logs)
+	}()
+	go func() {
+		defer close(p.done)
+		defer func() {
+			ended()
+			<-written
+		}()
+		if err := p.Run(ctx); err != nil {
+			c.t.Errorf("coordinator at %s: %v", address, err)
+		}
+	}()
+	eventually(c.t, p.Started)
+	return p.Coordinator
+}
+
+func (c *core) stop(address string) {
+	c.mu.Lock()
+	p := c.procs[address]
+	delete(c.procs, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.cancel()
+		<-p.done
+	}
+}
+
+// put proposes a document until it is accepted.
+func put(t *testing.T, c *crcoord.Coordinator, version, base uint64) {
+	t.Helper()
+	eventually(t, func() bool {
+		v, _, err := c.Put(context.Background(), &crwire.Document{Version: version, Base: base, Body: []byte("v" + strconv.FormatUint(version, 10))})
+		return err == nil && (v == crdocument.Accepted || v == crdocument.Repeated)
+	})
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(15 * time.Second)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatal("not within 15 s")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func newest(t *testing.T, c *crcoord.Coordinator) uint64 {
+	t.Helper()
+	var version uint64
+	eventually(t, func() bool {
+		d, err := c.Newest(context.Background())
+		version = d.GetVersion()
+		return err == nil
+	})
+	return version
+}
+
+// TestLostDisks guards against an accepted document that is lost with disks, one after the other: the core takes a
+// coordinator that comes back without its disk in again by itself before the next one loses its own.
+func TestLostDisks(t *testing.T) {
+	c, at := newCore(t, 3)
+	procs := map[string]*crcoord.Coordinator{}
+	for i, a := range at {
+		procs[a] = c.start(a, strconv.Itoa(i), true)
+	}
+	put(t, procs[at[0]], 5, 0)
+	for i, a := range at {
+		c.stop(a)
+		procs[a] = c.start(a, "new"+strconv.Itoa(i), false)
+		eventually(t, func() bool { return c.settledWith(3, a) })
+		put(t, procs[a], uint64(6+i), uint64(5+i))
+	}
+	for _, a := range at {
+		qt.Assert(t, newest(t, procs[a]), qt.Equals, uint64(8))
+	}
+}
+
+// settledWith reports whether a leader has n voters and the one at the address holds all that is committed.
+func (c *core) settledWith(n int, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, p := range c.procs {
+		m := p.Members()
+		if len(m) == n && len(m.Voters()) == n && (a == address && p.Leads() || p.MemberLive(c.procs[address].MemberID())) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestNoSecondHistory guards against coordinators without disks that found a new history: all three come back empty, and
+// nothing is served rather than something older.
+func TestNoSecondHistory(t *testing.T) {
+	c, at := newCore(t, 3)
+	for i, a := range at {
+		c.start(a, strconv.Itoa(i), true)
+	}
+	put(t, c.procs[at[0]].Coordinator, 5, 0)
+	for _, a := range at {
+		c.stop(a)
+	}
+	var last *crcoord.Coordinator
+	for i, a := range at {
+		last = c.start(a, "empty"+strconv.Itoa(i), false)
+	}
+	time.Sleep(3 * time.Second)
+	_, err := last.Newest(context.Background())
+	qt.Assert(t, err, qt.IsNotNil)
+	_, _, err = last.Put(context.Background(), &crwire.Document{Version: 6, Body: []byte("x")})
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
+// TestReplacedAtNewAddress guards against a coordinator that is gone for good and never replaced: one at a new address,
+// which knows two seeds that live, takes its place.
+func TestReplacedAtNewAddress(t *testing.T) {
+	c, at := newCore(t, 4)
+	for i, a := range at[:3] {
+		c.start(a, strconv.Itoa(i), true)
+	}
+	put(t, c.procs[at[0]].Coordinator, 5, 0)
+	c.stop(at[2])
+	fresh := c.start(at[3], "fresh", false)
+	eventually(t, func() bool { return c.settledWith(3, at[3]) })
+	c.stop(at[1])
+	qt.Assert(t, newest(t, fresh), qt.Equals, uint64(5))
+	put(t, fresh, 6, 5)
+}
--- a/internal/crcoord/dump.go
+++ b/internal/crcoord/dump.go
@@ -1,10 +1,13 @@
 package crcoord
 
 import (
+	"slices"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crreplica"
+	"github.com/citronramp/citronramp/pkg/crlog"
+	"github.com/citronramp/citronramp/pkg/crquorum"
 )
 
 // Dump returns the state of the coordinator.
@@ -34,3 +37,23 @@
 
 // SetSeeds replaces the coordinators that the settings name.
 func (c *Coordinator) SetSeeds(seeds []string) { c.peers.setSeeds(seeds) }
+
+// Members returns the present membership of the log.
+func (c *Coordinator) Members() crlog.Members { return c.replica.Status().Members }
+
+// Leads reports whether this coordinator leads now.
+func (c *Coordinator) Leads() bool { return c.replica.Status().Leads }
+
+// MemberID returns the id of this coordinator in the log.
+func (c *Coordinator) MemberID() uint64 { return c.replica.ID }
+
+// MemberLive reports whether this coordinator leads and has just heard from the voter, which holds all that is committed.
+func (c *Coordinator) MemberLive(id uint64) bool {
+	s := c.replica.Status()
+	for _, f := range s.Followers {
+		if f.ID == id && s.Leads && f.Match >= s.Commit && f.Contact < crquorum.RebornAfter {
+			return slices.Contains(s.Members.Voters(), id)
+		}
+	}
+	return false
+}
--- a/internal/crdirectory/client.go
+++ b/internal/crdirectory/client.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -47,7 +46,6 @@
 	notices  []string
 	subsets  map[string]map[string]*crwire.DirectoryEntry
 	control  string
-	moving   atomic.Bool
 	outbox   *crring.Ring[*crwire.DirectoryNotice]
 	// announced and watched wake the duties when the entry or the watches change.
 	announced, watched chan struct{}
@@ -126,6 +124,9 @@
 		addr := c.Controls[i%len(c.Controls)]
 		if session, err := c.Endpoint.Session(ctx, addr); err == nil {
 			if c.Attach(ctx, session, addr) {
+				if ctx.Err() != nil {
+					c.leave(session)
+				}
 				// The next round starts with the preferred control instance.
 				failures, i = 0, len(c.Controls)-1
 			}
@@ -160,15 +161,9 @@
 	}
 	<-ctx.Done()
 	wg.Wait()
-	if run.Err() != nil && !c.moving.Load() {
-		c.leave(s)
-	}
 	return true
 }
 
-// Moving tells that the end of the present Attach is a change of the control instance and not a planned stop.
-func (c *Client) Moving(m bool) { c.moving.Store(m) }
-
 func (c *Client) setControl(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -134,7 +134,8 @@
 			n.ended("admin", cradmin.Serve(duties, n.Admin, (&cradmin.Admin{Dumper: n, Counters: &n.Counters}).Handler()))
 		})
 	}
-	n.run(func() { n.follow(duties) })
+	n.run(func() { n.follow(duties, firstTie) })
+	n.run(func() { n.follow(duties, secondTie) })
 	n.run(func() { n.gate.watch(duties) })
 	n.run(func() { n.measure(duties) })
 	n.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyService, n.Settings.Service, crevent.KeyAddress, n.Settings.Address)
@@ -142,8 +143,9 @@
 	// Runs at the gate may still make calls through the entrance, so it closes last.
 	n.stop(inbound, entrance)
 	cancel()
-	n.wg.Wait()
-	n.endpoint.Close()
+	if !cradmin.Await(endLimit, n.wg.Wait, n.endpoint.Close) {
+		n.Log.Emit(time.Now(), crevent.State, crevent.Message, crevent.KeyDetail, "some duties have not ended")
+	}
 	n.Log.Emit(time.Now(), crevent.State, crevent.Stopped)
 	return nil
 }
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -28,6 +28,8 @@
 	helloLimit = time.Second
 	// roundPause is the mean wait after all known coordinators failed.
 	roundPause = 300 * time.Millisecond
+	// failedLately is how long a coordinator that was lost is tried after the others.
+	failedLately = 5 * time.Second
 	// unconfirmedAfter is how long a node looks for a confirmed feed before it takes documents from one without a leader.
 	unconfirmedAfter = time.Second
 )
@@ -38,6 +40,31 @@
 	named  []string
 	voters []string
 	others []string
+	// used are the coordinators that a tie holds, failed when others were tried in vain or lost.
+	used   map[string]bool
+	failed map[string]time.Time
+}
+
+// take reserves an address for a tie; it reports false when another tie holds it.
+func (f *follower) take(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.used[address] {
+		return false
+	}
+	if f.used == nil {
+		f.used, f.failed = map[string]bool{}, map[string]time.Time{}
+	}
+	f.used[address] = true
+	return true
+}
+
+// drop ends the reservation of an address that failed.
+func (f *follower) drop(now time.Time, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.used, address)
+	f.failed[address] = now
 }
 
 // seeds replaces the coordinators that the settings name.
@@ -58,8 +85,9 @@
 	}
 }
 
-// round returns the addresses to try: members in random order, then others that are known.
-func (f *follower) round() []string {
+// round returns the addresses to try: members in random order, then others that are known; those that failed lately come
+// last.
+func (f *follower) round(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	voters := slices.Clone(f.voters)
@@ -72,23 +100,49 @@
 			out = append(out, a)
 		}
 	}
+	lately := func(a string) int {
+		if t, ok := f.failed[a]; ok && now.Sub(t) < failedLately {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(out, func(a, b string) int { return lately(a) - lately(b) })
 	return out
 }
 
-// follow keeps the node tied to one coordinator until ctx ends.
-func (n *Node) follow(ctx context.Context) {
+// tie is one of the node's ties to the core. With two, to different coordinators, the loss of one delays no document.
+type tie struct {
+	name string
+	// directory tells that the tie carries the directory besides documents.
+	directory bool
+	// pause is the mean wait after all known coordinators failed.
+	pause time.Duration
+}
+
+var (
+	firstTie  = tie{name: "first", directory: true, pause: roundPause}
+	secondTie = tie{name: "second", pause: 3 * roundPause}
+)
+
+// follow keeps a tie until ctx ends.
+func (n *Node) follow(ctx context.Context, t tie) {
 	lost := time.Now()
 	for ctx.Err() == nil {
-		for _, a := range n.follower.round() {
+		for _, a := range n.follower.round(time.Now()) {
 			if ctx.Err() != nil {
 				return
 			}
-			if n.attach(ctx, a, time.Since(lost) > unconfirmedAfter) {
+			if !n.follower.take(a) {
+				continue
+			}
+			confirmed := n.attach(ctx, a, t, time.Since(lost) > unconfirmedAfter)
+			n.follower.drop(time.Now(), a)
+			if confirmed {
 				lost = time.Now()
 				break
 			}
 		}
-		sleep(ctx, roundPause/2+jitter(roundPause))
+		sleep(ctx, t.pause/2+jitter(t.pause))
 	}
 }
 
@@ -102,7 +156,7 @@
 }
 
 // attach follows one coordinator until it falls silent; it reports whether a confirmed feed was seen.
-func (n *Node) attach(ctx context.Context, address string, takeAny bool) bool {
+func (n *Node) attach(ctx context.Context, address string, t tie, takeAny bool) bool {
 	hello, cancel := context.WithTimeout(ctx, helloLimit)
 	defer cancel()
 	s, err := n.endpoint.Session(hello, address)
@@ -119,29 +173,29 @@
 	if !view.GetConfirmed() && !takeAny {
 		return false
 	}
-	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, address, crevent.KeyOutcome, view.GetConfirmed())
-	confirmed, err := n.feed(ctx, s, address)
+	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, address, crevent.KeyDetail, t.name,
+		crevent.KeyOutcome, view.GetConfirmed())
+	confirmed, err := n.feed(ctx, s, address, t)
 	if ctx.Err() == nil {
-		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, address, crevent.KeyError, err)
+		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, address, crevent.KeyDetail, t.name, crevent.KeyError, err)
 	}
 	return confirmed
 }
 
-// feed takes documents and the directory from one coordinator.
-func (n *Node) feed(ctx context.Context, s *crwire.Session, address string) (confirmed bool, err error) {
+// feed takes documents, and the directory for the first tie, from one coordinator.
+func (n *Node) feed(ctx context.Context, s *crwire.Session, address string, t tie) (confirmed bool, err error) {
 	tied, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	defer n.directory.Moving(false)
-	wg.Go(func() {
-		defer cancel()
-		n.directory.Attach(tied, s, address)
-	})
+	defer cancel()
+	if t.directory {
+		wg.Go(func() {
+			defer cancel()
+			n.directory.Attach(tied, s, address)
+		})
+	}
 	silent := time.AfterFunc(feedSilence, cancel)
 	defer silent.Stop()
-	n.directory.Moving(true)
-	defer cancel()
 	var have uint64
 	if t := n.table.Load(); t != nil {
 		have = t.Version()
@@ -155,9 +209,6 @@
 		}
 		return nil
 	})
-	if ctx.Err() != nil {
-		n.directory.Moving(false)
-	}
 	return confirmed, err
 }
 
@@ -175,7 +226,11 @@
 		n.Log.Emit(now, crevent.State, crevent.ConfigRefused, crevent.KeyVersion, d.GetVersion(), crevent.KeyCode, crcode.Of(err), crevent.KeyError, err)
 		return
 	}
-	n.table.Store(t)
+	if !n.table.CompareAndSwap(old, t) {
+		// The other tie has put a document in force meanwhile.
+		n.take(f)
+		return
+	}
 	n.directory.Watch(t.Services(), nil)
 	n.Log.Emit(now, crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, f.GetConfirmed())
 }
--- a/internal/crforward/stop.go
+++ b/internal/crforward/stop.go
@@ -13,15 +13,17 @@
 	// stopNoticePart is the time in which clients learn that the node is not ready, while it still takes requests: clients
 	// are told after two questions a second apart.
 	stopNoticePart = 0.45
-	// stopReserve is kept for the end of the process itself.
-	stopReserve = 300 * time.Millisecond
+	// stopEndPart is when requests that still run are cut; a server that works longer than that is not waited for.
+	stopEndPart = 0.86
+	// endLimit bounds the end of the duties after the last request.
+	endLimit = 300 * time.Millisecond
 )
 
 // stop finishes what is in flight: the node says that it is not ready, its gate takes no new work, requests of clients
 // are taken for a while yet, then connections close as their requests end.
 func (n *Node) stop(servers ...*http.Server) {
 	now := time.Now()
-	end := now.Add(n.Settings.StopTimeout - stopReserve)
+	end := now.Add(time.Duration(float64(n.Settings.StopTimeout) * stopEndPart))
 	n.stopping.Store(true)
 	n.Log.Emit(now, crevent.State, crevent.Stopping, crevent.KeyCount, n.inFlight.Load(), crevent.KeyLeft, n.Settings.StopTimeout)
 	n.announce()
