--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -26,7 +26,6 @@
 	seeds []string
 	mu    sync.Mutex
 	procs map[string]*proc
-	disks int
 }
 
 type proc struct {
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -98,7 +98,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	n.finishBody(w, c)
-	n.reject(w, c, r, n.retryIn(r, c.deadline.Sub(time.Now())))
+	n.reject(w, c, r, n.retryIn(r, time.Until(c.deadline)))
 }
 
 // finishBody closes the connection after an answer that comes before a streamed body is in: what follows would be taken
