crreplay: split long functions of the model

Change: the router of a node, what an answer tells and the rounds of calls are functions of their own.

--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -219,18 +219,25 @@
 	m.send(&work{kind: k, node: at, deadline: m.now + time.Duration(k.Timeout), done: done}, nil)
 }
 
+// router returns the node's router of a service.
+func (m *model) router(n *node, service string) *crrouter.Router {
+	r := n.routers[service]
+	if r != nil {
+		return r
+	}
+	r = &crrouter.Router{Rand: m.rnd}
+	var list []crrouter.Server
+	for _, s := range m.servers[service] {
+		list = append(list, crrouter.Server{ID: s.id, Slots: s.service.Slots})
+	}
+	r.Update(m.clock(), list)
+	n.routers[service] = r
+	return r
+}
+
 // send places work on a server, and on another one when the first gate refuses.
 func (m *model) send(w *work, tried []string) {
-	r := w.node.routers[w.kind.Service]
-	if r == nil {
-		r = &crrouter.Router{Rand: m.rnd}
-		var list []crrouter.Server
-		for _, s := range m.servers[w.kind.Service] {
-			list = append(list, crrouter.Server{ID: s.id, Slots: s.service.Slots})
-		}
-		r.Update(m.clock(), list)
-		w.node.routers[w.kind.Service] = r
-	}
+	r := m.router(w.node, w.kind.Service)
 	picked, err := r.Pick(m.clock(), crrouter.Request{Tried: tried})
 	if err != nil {
 		w.done(false, true)
@@ -240,23 +247,10 @@
 	s := m.servers[w.kind.Service][i]
 	sent := m.now
 	answer := func(good, refused bool) {
-		intensity, entries := s.regulator.Intensity(), s.node.board.Entries(m.clock(), 4)
-		load := &crrouter.Feedback{InFlight: s.running, Limit: s.service.Slots, Queued: s.queue.Len()}
+		told := s.tell(m.clock())
 		m.after(time.Duration(m.load.Hop), func() {
-			w.node.board.Heard(m.clock(), s.service.Name, s.id, intensity)
-			for _, e := range entries {
-				if e.Service != s.service.Name {
-					w.node.board.Passed(m.clock(), e.Service, e.Intensity, e.Age)
-				}
-			}
-			end := crrouter.Failed
-			if good {
-				end = crrouter.OK
-			}
-			if refused {
-				end = crrouter.Refused
-			}
-			r.Done(m.clock(), s.id, crrouter.Result{Kind: end, Latency: m.now - sent, Feedback: load})
+			told.reach(m.clock(), w.node)
+			r.Done(m.clock(), s.id, crrouter.Result{Kind: endOf(good, refused), Latency: m.now - sent, Feedback: told.load})
 			if refused && len(tried) < 1 && m.now < w.deadline {
 				m.send(w, append(tried, s.id))
 				return
@@ -267,6 +261,41 @@
 	m.after(time.Duration(m.load.Hop), func() { m.arrive(s, w, answer) })
 }
 
+func endOf(good, refused bool) crrouter.Kind {
+	switch {
+	case good:
+		return crrouter.OK
+	case refused:
+		return crrouter.Refused
+	}
+	return crrouter.Failed
+}
+
+// told is what an answer carries of the load.
+type told struct {
+	service, server string
+	intensity       float64
+	entries         []crshed.Entry
+	load            *crrouter.Feedback
+}
+
+func (s *server) tell(now time.Time) told {
+	return told{
+		s.service.Name, s.id, s.regulator.Intensity(), s.node.board.Entries(now, 4),
+		&crrouter.Feedback{InFlight: s.running, Limit: s.service.Slots, Queued: s.queue.Len()},
+	}
+}
+
+// reach stores what was told at the node that gets the answer.
+func (t *told) reach(now time.Time, n *node) {
+	n.board.Heard(now, t.service, t.server, t.intensity)
+	for _, e := range t.entries {
+		if e.Service != t.service {
+			n.board.Passed(now, e.Service, e.Intensity, e.Age)
+		}
+	}
+}
+
 // expected returns the time of a run on a server without its calls.
 func (m *model) expected(s *server, k *Kind) time.Duration {
 	slow := 1.0
@@ -347,6 +376,20 @@
 	s.counted = m.now
 }
 
+// rounds returns the calls of a kind; those of one round are made at once.
+func (m *model) rounds(k *Kind) (rounds [][]*Kind) {
+	for _, c := range k.Calls {
+		each, times := 1, c.Times
+		if c.Together {
+			each, times = c.Times, 1
+		}
+		for range times {
+			rounds = append(rounds, slices.Repeat([]*Kind{m.kinds[c.Kind]}, each))
+		}
+	}
+	return rounds
+}
+
 // run does half of the work, the calls, and the other half; it ends at the deadline.
 func (m *model) run(s *server, w *work, done func(good bool)) {
 	ended := false
@@ -359,17 +402,7 @@
 	m.after(w.deadline-m.now, func() { end(false) })
 	spread := math.Exp(w.kind.Spread*m.rnd.NormFloat64() - w.kind.Spread*w.kind.Spread/2)
 	half := time.Duration(float64(m.expected(s, w.kind)) * spread / 2)
-	var calls [][]*Kind
-	for _, c := range w.kind.Calls {
-		k := m.kinds[c.Kind]
-		if c.Together {
-			calls = append(calls, slices.Repeat([]*Kind{k}, c.Times))
-			continue
-		}
-		for range c.Times {
-			calls = append(calls, []*Kind{k})
-		}
-	}
+	calls := m.rounds(w.kind)
 	var step func(i int)
 	step = func(i int) {
 		if ended {
