--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -99,6 +99,7 @@
 	answers   atomic.Uint64
 	// callFailed is when a call of the backend server failed last, in Unix nanoseconds.
 	callFailed atomic.Int64
+	started    atomic.Bool
 	stopping   atomic.Bool
 	// inFlight counts the requests at the entrance.
 	inFlight atomic.Int64
@@ -138,6 +139,7 @@
 	n.run(func() { n.follow(duties, secondTie) })
 	n.run(func() { n.gate.watch(duties) })
 	n.run(func() { n.measure(duties) })
+	n.started.Store(true)
 	n.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyService, n.Settings.Service, crevent.KeyAddress, n.Settings.Address)
 	<-ctx.Done()
 	// Runs at the gate may still make calls through the entrance, so it closes last.
@@ -150,6 +152,9 @@
 	return nil
 }
 
+// Started reports whether Run has come far enough for the other methods.
+func (n *Node) Started() bool { return n.started.Load() }
+
 func (n *Node) prepare() {
 	n.endpoint = &crwire.Endpoint{
 		Identity: crwire.Identity{Self: crwire.Peer{
--- /dev/null
+++ b/internal/crforward/node_test.go
@@ -0,0 +1,477 @@
+package crforward_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crcoord"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crforward"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crroute"
+)
+
+var names = crforward.Headers{
+	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", ServerID: "X-Server", NotRun: "X-Not-Run",
+	Load: "X-Load", RetryAfter: "Retry-After",
+}
+
+// backend is a stand-in server.
+type backend struct {
+	*httptest.Server
+	id   string
+	ran  atomic.Int64
+	mu   sync.Mutex
+	last *http.Request
+	body []byte
+	// answer replaces the usual answer.
+	answer atomic.Pointer[http.HandlerFunc]
+}
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.ran.Add(1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.last, b.body = r, body
+	b.mu.Unlock()
+	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+	if f := b.answer.Load(); f != nil {
+		(*f)(w, r)
+		return
+	}
+	w.Header().Set("X-Stamp", b.id)
+	_, _ = fmt.Fprintf(w, "%s of %s", r.URL.Path, b.id)
+}
+
+func (b *backend) set(f http.HandlerFunc) { b.answer.Store(&f) }
+
+// node is a forwarding node with its server.
+type node struct {
+	*crforward.Node
+	backend  *backend
+	entrance string
+	ready    string
+	cancel   context.CancelFunc
+	done     chan struct{}
+	sequence uint64
+	born     time.Time
+}
+
+func listener(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	return ln
+}
+
+// cluster is one coordinator and nodes.
+type cluster struct {
+	t     *testing.T
+	coord *crcoord.Coordinator
+	seed  string
+	nodes []*node
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	inner := listener(t)
+	seed := inner.Addr().String()
+	c := &cluster{t: t, seed: seed, coord: &crcoord.Coordinator{
+		Settings: crcoord.Settings{
+			Name: "core", Domain: "a", Address: seed, DataDir: t.TempDir(), Seeds: []string{seed}, FirstStart: true, StopTimeout: time.Second,
+		},
+		Inner: inner, API: listener(t), Handler: http.NotFoundHandler(), Log: &crevent.Log{Out: io.Discard},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := c.coord.Run(ctx); err != nil {
+			t.Errorf("coordinator: %v", err)
+		}
+	}()
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.cancel()
+		}
+		for _, n := range c.nodes {
+			n.stop()
+		}
+		cancel()
+		<-done
+	})
+	eventually(t, c.coord.Started)
+	return c
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(10 * time.Second)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatal("not within 10 s")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// routes is the configuration as JSON of routes.
+func parse(d *crwire.Document) (*crroute.Table, error) {
+	var routes []crroute.Route
+	if err := json.Unmarshal(d.GetBody(), &routes); err != nil {
+		return nil, err
+	}
+	return crroute.New(d.GetVersion(), routes, []crroute.Service{{Name: "ledger"}, {Name: "photos"}}, crroute.Limits{BodyBytes: 1 << 20})
+}
+
+func route(prefix, service string, kind crroute.Kind) crroute.Route {
+	return crroute.Route{
+		Name: prefix, Host: "app.example", Prefix: prefix, Kind: kind, Timeout: time.Second, Target: time.Second, MaxAttempts: 2,
+		Shares: []crroute.Share{{Service: service, Weight: 1}},
+	}
+}
+
+func (c *cluster) put(version, base uint64, routes ...crroute.Route) {
+	c.t.Helper()
+	body, err := json.Marshal(routes)
+	qt.Assert(c.t, err, qt.IsNil)
+	eventually(c.t, func() bool {
+		_, _, err := c.coord.Put(context.Background(), &crwire.Document{Version: version, Base: base, Body: body})
+		return err == nil
+	})
+}
+
+// add starts a node with a server of the service.
+func (c *cluster) add(service string) *node {
+	c.t.Helper()
+	b := &backend{id: fmt.Sprintf("s%d", len(c.nodes))}
+	b.Server = httptest.NewServer(b)
+	entrance, inbound, ready := listener(c.t), listener(c.t), listener(c.t)
+	n := &node{backend: b, entrance: entrance.Addr().String(), ready: ready.Addr().String(), done: make(chan struct{}), born: time.Now()}
+	n.Node = &crforward.Node{
+		Settings: crforward.Settings{
+			Name: "n" + b.id, Domain: "a", Service: service, ServerAddress: b.Listener.Addr().String(), Address: inbound.Addr().String(),
+			Seeds: []string{c.seed}, Headers: names, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+			Heartbeat: time.Minute, MemoryBytes: 256 << 20, StopTimeout: 3 * time.Second,
+		},
+		Entrance: entrance, Inbound: inbound, Ready: ready, Control: listener(c.t), ControlHandler: http.NotFoundHandler(),
+		ReadyPath: "/ready", Parse: parse, Log: &crevent.Log{Out: io.Discard},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		if err := n.Run(ctx); err != nil {
+			c.t.Errorf("node: %v", err)
+		}
+	}()
+	c.nodes = append(c.nodes, n)
+	eventually(c.t, n.Started)
+	qt.Assert(c.t, n.report(false), qt.IsNil)
+	return n
+}
+
+func (n *node) report(draining bool) error {
+	n.sequence++
+	return n.Register(time.Now(), crforward.Report{
+		ID: n.backend.id, Service: n.Settings.Service, Address: n.Settings.ServerAddress, Born: n.born, Sequence: n.sequence, Slots: 20,
+		Draining: draining,
+	})
+}
+
+func (n *node) stop() {
+	n.cancel()
+	<-n.done
+	n.backend.CloseClientConnections()
+	n.backend.Close()
+}
+
+// get sends a request to a node's entrance.
+func (n *node) send(ctx context.Context, method, path, id string, body io.Reader) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.entrance+path, body)
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "app.example"
+	req.Header.Set(names.RequestID, id)
+	req.Header.Set(names.Timeout, "5000")
+	req.Header.Set(names.Caller, "forged")
+	req.Header.Set("Connection", "X-Private")
+	req.Header.Set("X-Private", "1")
+	req.Header.Set("X-Kept", "1")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// until sends GET requests until one is answered with the status.
+func (n *node) until(t *testing.T, path string, status int) {
+	t.Helper()
+	eventually(t, func() bool {
+		resp, _, err := n.send(context.Background(), "GET", path, "warm", nil)
+		return err == nil && resp.StatusCode == status
+	})
+}
+
+// TestForwarded guards against requests and answers that change on their way.
+func TestForwarded(t *testing.T) {
+	c := newCluster(t)
+	from, to := c.add("ledger"), c.add("photos")
+	resp, _, err := from.send(context.Background(), "GET", "/p/x", "early", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("a node without configuration never answers 404"))
+	qt.Assert(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.put(3, 0, route("/p/", "photos", crroute.Once), route("/l/", "ledger", crroute.Repeatable))
+	from.until(t, "/p/warm", http.StatusOK)
+	resp, body, err := from.send(context.Background(), "POST", "/p/a%2Fb?q=%20", "i-1", strings.NewReader("payload"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "/p/a/b of s1")
+	qt.Assert(t, resp.Header.Get("X-Stamp"), qt.Equals, "s1")
+	qt.Assert(t, resp.Header.Get("Citronramp-Hop"), qt.Equals, "")
+	to.backend.mu.Lock()
+	got := to.backend.last
+	qt.Assert(t, string(to.backend.body), qt.Equals, "payload")
+	to.backend.mu.Unlock()
+	qt.Assert(t, got.RequestURI, qt.Equals, "/p/a%2Fb?q=%20")
+	qt.Assert(t, got.Host, qt.Equals, "app.example")
+	qt.Assert(t, got.Header.Get(names.RequestID), qt.Equals, "i-1")
+	qt.Assert(t, got.Header.Get(names.Caller), qt.Equals, "ledger")
+	qt.Assert(t, got.Header.Get(names.ExpectServer), qt.Equals, "s1")
+	qt.Assert(t, got.Header.Get("X-Kept"), qt.Equals, "1")
+	qt.Assert(t, got.Header.Get("X-Private"), qt.Equals, "")
+	qt.Assert(t, got.Header.Get("Citronramp-Hop"), qt.Equals, "")
+	resp, _, err = from.send(context.Background(), "GET", "/nowhere/", "i-2", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusNotFound)
+	resp, _, err = from.send(context.Background(), "POST", "/p/x", "i-3", bytes.NewReader(make([]byte, 2<<20)))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	// Chunked bodies and large ones that are not kept in memory come whole, too.
+	large := strings.Repeat("y", 700<<10)
+	resp, _, err = from.send(context.Background(), "POST", "/p/x", "i-4", io.MultiReader(strings.NewReader(large)))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	to.backend.mu.Lock()
+	qt.Assert(t, string(to.backend.body) == large, qt.IsTrue)
+	to.backend.mu.Unlock()
+}
+
+// TestDraining guards against a request that reaches a server after its leave was acknowledged.
+func TestDraining(t *testing.T) {
+	c := newCluster(t)
+	from, one, two := c.add("ledger"), c.add("photos"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Once))
+	for _, x := range []*node{one, two} {
+		eventually(t, func() bool {
+			_, _, err := from.send(context.Background(), "POST", "/p/x", "w", nil)
+			return err == nil && x.backend.ran.Load() > 0
+		})
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for range 4 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if resp, _, err := from.send(context.Background(), "POST", "/p/x", "d", nil); err != nil || resp.StatusCode != http.StatusOK {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	qt.Assert(t, one.report(true), qt.IsNil)
+	time.Sleep(20 * time.Millisecond) // what was admitted before reaches the server
+	at := one.backend.ran.Load()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	qt.Assert(t, one.backend.ran.Load(), qt.Equals, at)
+	qt.Assert(t, failed.Load(), qt.Equals, int64(0))
+	// A late report of the same lifetime does not bring it back; a new lifetime does.
+	one.sequence -= 2
+	qt.Assert(t, one.report(false), qt.IsNil)
+	one.sequence += 5
+	qt.Assert(t, one.report(false), qt.IsNil)
+	_, _, err := from.send(context.Background(), "POST", "/p/x", "e", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, one.backend.ran.Load(), qt.Equals, at)
+	one.born = time.Now()
+	qt.Assert(t, one.report(false), qt.IsNil)
+	eventually(t, func() bool {
+		_, _, err := from.send(context.Background(), "POST", "/p/x", "f", nil)
+		return err == nil && one.backend.ran.Load() > at
+	})
+}
+
+// TestOnce guards against a second run of what may run once, and against a status that promises that it has not run.
+func TestOnce(t *testing.T) {
+	c := newCluster(t)
+	from, one, two := c.add("ledger"), c.add("photos"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Once), route("/r/", "photos", crroute.Repeatable))
+	from.until(t, "/r/warm", http.StatusOK)
+	for name, x := range map[string]struct {
+		answer http.HandlerFunc
+		status int
+		runs   int64
+	}{
+		"connection closed": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, http.StatusBadGateway, 1},
+		"truncated": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "abc")
+		}, http.StatusBadGateway, 1},
+		"encoded": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Encoding", "x")
+			_, _ = io.WriteString(w, "abc")
+		}, http.StatusBadGateway, 1},
+		"of another request": {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(names.RequestID, "zzz") }, http.StatusGatewayTimeout, 1},
+		"own failure":        {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, http.StatusInternalServerError, 1},
+		"no answer":          {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, http.StatusGatewayTimeout, 1},
+		"not run": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(names.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, http.StatusServiceUnavailable, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one.backend.set(x.answer)
+			two.backend.set(x.answer)
+			before := one.backend.ran.Load() + two.backend.ran.Load()
+			start := time.Now()
+			resp, _, err := from.send(context.Background(), "POST", "/p/x", "once", strings.NewReader("b"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, resp.StatusCode, qt.Equals, x.status)
+			qt.Assert(t, time.Since(start) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v for a route timeout of 1 s", time.Since(start)))
+			runs := one.backend.ran.Load() + two.backend.ran.Load() - before
+			qt.Assert(t, runs <= x.runs, qt.IsTrue, qt.Commentf("%d", runs))
+			if resp.StatusCode == http.StatusServiceUnavailable {
+				qt.Assert(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			}
+		})
+	}
+}
+
+// TestRepeated guards against a repeatable request that fails although a second server would answer it.
+func TestRepeated(t *testing.T) {
+	c := newCluster(t)
+	from, one, two := c.add("ledger"), c.add("photos"), c.add("photos")
+	c.put(3, 0, route("/r/", "photos", crroute.Repeatable))
+	for _, x := range []*node{one, two} {
+		eventually(t, func() bool {
+			_, _, err := from.send(context.Background(), "GET", "/r/x", "w", nil)
+			return err == nil && x.backend.ran.Load() > 0
+		})
+	}
+	// One server breaks its answer once: either it gets the request and the other repeats it, or the other gets it at once.
+	var broken atomic.Bool
+	one.backend.set(func(w http.ResponseWriter, _ *http.Request) {
+		if broken.CompareAndSwap(false, true) {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "fine")
+	})
+	for i := 0; !broken.Load() && i < 200; i++ {
+		resp, _, err := from.send(context.Background(), "GET", "/r/x", "again", nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, broken.Load(), qt.IsTrue)
+}
+
+// TestClientLeaves guards against a server that goes on with a repeatable request half a second after its client has left.
+func TestClientLeaves(t *testing.T) {
+	c := newCluster(t)
+	from, to := c.add("ledger"), c.add("photos")
+	c.put(3, 0, route("/r/", "photos", crroute.Repeatable))
+	from.until(t, "/r/warm", http.StatusOK)
+	started, left := make(chan struct{}), make(chan time.Time, 1)
+	to.backend.set(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		left <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, _, err := from.send(ctx, "GET", "/r/x", "leave", nil)
+	qt.Assert(t, err, qt.IsNotNil)
+	at := time.Now()
+	select {
+	case when := <-left:
+		qt.Assert(t, when.Sub(at) < 500*time.Millisecond, qt.IsTrue)
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the server still works half a second later")
+	}
+}
+
+// TestPlannedStop guards against requests that a planned stop of either node cuts off.
+func TestPlannedStop(t *testing.T) {
+	c := newCluster(t)
+	from, to := c.add("ledger"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Once))
+	from.until(t, "/p/warm", http.StatusOK)
+	started := make(chan struct{}, 1)
+	to.backend.set(func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		time.Sleep(700 * time.Millisecond)
+		_, _ = io.WriteString(w, "done")
+	})
+	status := make(chan string, 1)
+	go func() {
+		_, body, err := from.send(context.Background(), "POST", "/p/x", "stop", nil)
+		status <- fmt.Sprint(body, err)
+	}()
+	<-started
+	to.cancel()
+	from.cancel()
+	resp, err := http.Get("http://" + from.ready + "/ready")
+	if err == nil {
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, resp.Body.Close(), qt.IsNil)
+	}
+	qt.Assert(t, <-status, qt.Equals, "done<nil>")
+}
+
+// TestNewVersion guards against a node that goes on with an older configuration, or back to it.
+func TestNewVersion(t *testing.T) {
+	c := newCluster(t)
+	from, _ := c.add("ledger"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Repeatable))
+	from.until(t, "/p/x", http.StatusOK)
+	start := time.Now()
+	c.put(5, 3, route("/p/", "ledger", crroute.Repeatable), route("/new/", "photos", crroute.Repeatable))
+	from.until(t, "/new/x", http.StatusOK)
+	qt.Assert(t, time.Since(start) < 2*time.Second, qt.IsTrue)
+	for range 20 {
+		_, body, err := from.send(context.Background(), "GET", "/p/x", "v", nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "/p/x of s0")
+	}
+}
