--- a/internal/crreplay/crreplay.go
+++ b/internal/crreplay/crreplay.go
@@ -7,9 +7,11 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -183,8 +185,8 @@
 		fmt.Fprintf(&b, "%-16s %7d %7d %6d %7d %6d %6.3f\n", r.Kind, r.Asked, r.InTime, r.Late, r.Refused, r.Failed, r.Worth/math.Max(r.Owed, 1e-9))
 	}
 	fmt.Fprintf(&b, "worth %.3f of what was owed; the slots allowed %.3f\n", t.Worth(), t.Possible)
-	for s, o := range t.Occupied {
-		fmt.Fprintf(&b, "occupied %-12s %.2f\n", s, o)
+	for _, s := range slices.Sorted(maps.Keys(t.Occupied)) {
+		fmt.Fprintf(&b, "occupied %-12s %.2f\n", s, t.Occupied[s])
 	}
 	return b.String()
 }
--- a/internal/crreplay/crreplay_test.go
+++ b/internal/crreplay/crreplay_test.go
@@ -1,19 +1,77 @@
 package crreplay_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/citronramp/citronramp/internal/crreplay"
+	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
-// TestDeepBottleneck prints what the control makes of the load, beside no control.
-func TestDeepBottleneck(t *testing.T) {
-	l, err := crreplay.Read("loads/deep_bottleneck.toml")
+func read(t *testing.T, name string) *crreplay.Load {
+	t.Helper()
+	l, err := crreplay.Read(filepath.Join("loads", name))
 	qt.Assert(t, err, qt.IsNil)
-	shed := l.Run(1)
-	l.Control = crreplay.ControlNone
-	none := l.Run(1)
-	t.Logf("shed\n%s\nnone\n%s", shed, none)
+	return l
+}
+
+func served(r crreplay.Row) float64 { return float64(r.InTime+r.Late) / float64(r.Asked) }
+
+// TestDeepBottleneck replays the load whose last service is short and guards against important kinds that are served
+// less often than less important ones, a kind that is starved, and a control that does worse than none.
+func TestDeepBottleneck(t *testing.T) {
+	l := read(t, "deep_bottleneck.toml")
+	for seed := range uint64(2) {
+		shed := l.Run(seed)
+		t.Logf("seed %d\n%s", seed, shed)
+		record, price, upload, look := served(shed.Row("record")), served(shed.Row("price")), served(shed.Row("upload")), served(shed.Row("look"))
+		qt.Assert(t, record >= price-0.05, qt.IsTrue)
+		qt.Assert(t, price >= look-0.05, qt.IsTrue)
+		qt.Assert(t, upload >= price-0.05, qt.IsTrue, qt.Commentf("uploads use nothing of the service that is short"))
+		asked, all := 0, 0
+		for _, r := range shed.Rows {
+			asked, all = asked+r.Asked, all+r.InTime+r.Late
+		}
+		qt.Assert(t, look >= float64(all)/float64(asked)/4, qt.IsTrue)
+		none := *l
+		none.Control = crreplay.ControlNone
+		qt.Assert(t, shed.Worth() > 2*none.Run(seed).Worth(), qt.IsTrue)
+	}
+}
+
+// TestShareOfPossible guards the aim of nine tenths of the worth that the slots allow.
+func TestShareOfPossible(t *testing.T) {
+	l := read(t, "deep_bottleneck.toml")
+	share := 0.0
+	for seed := range uint64(2) {
+		x := l.Run(seed)
+		share += x.Worth() / x.Possible / 2
+	}
+	qt.Assert(t, share >= 0.9, qt.IsTrue, qt.Commentf("%.3f of the possible worth", share))
+}
+
+// TestSame guards against a replay that cannot be repeated.
+func TestSame(t *testing.T) {
+	l := read(t, "deep_bottleneck.toml")
+	l.Length /= 8
+	qt.Assert(t, l.Run(7).String(), qt.Equals, l.Run(7).String())
+}
+
+// TestBadLoads guards against a load file with a mistake that is replayed all the same.
+func TestBadLoads(t *testing.T) {
+	for text, code := range map[string]crcode.Code{
+		"nodes = ":               crcode.SettingsUnreadable,
+		"nodes = 1\nunknown = 2": crcode.SettingsUnknownKey,
+		"nodes = 1":              crcode.SettingsBadValue,
+	} {
+		path := filepath.Join(t.TempDir(), "load.toml")
+		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+		_, err := crreplay.Read(path)
+		qt.Assert(t, crcode.Of(err), qt.Equals, code, qt.Commentf("%s", text))
+	}
+	_, err := crreplay.Read("loads/none.toml")
+	qt.Assert(t, crcode.Of(err), qt.Equals, crcode.SettingsUnreadable)
 }
