--- a/internal/crevent/crevent_test.go
+++ b/internal/crevent/crevent_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"io"
+	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -101,3 +103,19 @@
 	}
 	qt.Assert(t, n > 50 && n < 400, qt.IsTrue, qt.Commentf("%d", n))
 }
+
+// TestPage guards against a page of the vocabulary that differs from the code.
+func TestPage(t *testing.T) {
+	code, err := os.ReadFile("vocabulary.go")
+	qt.Assert(t, err, qt.IsNil)
+	page, err := os.ReadFile("../../docs/events.md")
+	qt.Assert(t, err, qt.IsNil)
+	words := func(text []byte, pattern string) []string {
+		var out []string
+		for _, m := range regexp.MustCompile(pattern).FindAllSubmatch(text, -1) {
+			out = append(out, string(m[1]))
+		}
+		return out
+	}
+	qt.Assert(t, words(page, "(?m)^\\| `(\\w+)` \\|"), qt.DeepEquals, words(code, `= "(\w+)"`))
+}
--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -17,9 +17,6 @@
 
 // Events of a request at a node.
 const (
-	Routed    Event = "routed"
-	Placed    Event = "placed"
-	Waited    Event = "waited"
 	Rejected  Event = "rejected"
 	SentAgain Event = "sent_again"
 	Cancelled Event = "cancelled"
@@ -31,10 +28,8 @@
 // Events of what a process believes.
 const (
 	ServerJoined   Event = "server_joined"
-	ServerBack     Event = "server_back"
 	ServerDraining Event = "server_draining"
 	ServerGone     Event = "server_gone"
-	ServerEjected  Event = "server_ejected"
 	ServersChanged Event = "servers_changed"
 	ConfigLearned  Event = "config_learned"
 	ConfigAccepted Event = "config_accepted"
@@ -42,10 +37,7 @@
 	ConfigUnclear  Event = "config_unclear"
 	LeaderChanged  Event = "leader_changed"
 	MemberChange   Event = "member_change"
-	PeerLost       Event = "peer_lost"
-	PeerBack       Event = "peer_back"
 	ShareChanged   Event = "share_changed"
-	RequestBlocked Event = "request_blocked"
 )
 
 // Keys of the values on a line.
@@ -57,7 +49,6 @@
 	KeyRoute    = "route"
 	KeyService  = "service"
 	KeyServer   = "server"
-	KeyNode     = "node"
 	KeyPeer     = "peer"
 	KeyReason   = "reason"
 	KeyCode     = "code"
@@ -76,7 +67,6 @@
 	KeyPriority = "priority"
 	KeyShare    = "share"
 	KeyCaller   = "caller"
-	KeyRetryIn  = "retry_in"
 	KeyCount    = "count"
 	KeyOf       = "of"
 	KeyTerm     = "term"
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -308,6 +308,13 @@
 		crevent.KeyDetail, g.regulator.Demand(), crevent.KeyRunning, l.InFlight, crevent.KeyQueue, l.Queued, crevent.KeySlots, l.Limit)
 }
 
+// idle reports whether nothing runs on the server.
+func (g *gate) idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limiter == nil || g.limiter.InFlight() == 0
+}
+
 // load returns what answers tell of this gate.
 func (g *gate) load() *crrouter.Feedback {
 	g.mu.Lock()
