--- a/internal/crexplain/crexplain.go
+++ b/internal/crexplain/crexplain.go
@@ -109,13 +109,14 @@
 
 // Write tells the story.
 func (s *Story) Write(w io.Writer) error {
-	b := bufio.NewWriter(w)
+	b := &strings.Builder{}
 	slices.SortStableFunc(s.lines, func(a, b line) int { return cmp.Or(cmp.Compare(a.time, b.time), cmp.Compare(a.order, b.order)) })
 	slices.SortStableFunc(s.state, func(a, b line) int { return cmp.Compare(a.time, b.time) })
 	if len(s.lines) == 0 {
 		fmt.Fprintf(b, "No line about %s in the logs of %d processes.\n", s.ID, len(s.processes))
 		fmt.Fprintln(b, "Requests that end well are logged for a sample of ids only; look whether all processes' logs are here.")
-		return b.Flush()
+		_, err := io.WriteString(w, b.String())
+		return err
 	}
 	if before := s.before(s.lines[0].time); len(before) > 0 {
 		fmt.Fprintln(b, "What these processes had come to believe just before:")
@@ -128,7 +129,8 @@
 		s.print(b, l, 1+strings.Count(strings.TrimPrefix(l.id, s.ID), callSeparator))
 	}
 	s.missing(b)
-	return b.Flush()
+	_, err := io.WriteString(w, b.String())
+	return err
 }
 
 // shownBefore bounds the state lines before the story.
@@ -149,7 +151,7 @@
 	return out[max(0, len(out)-shownBefore):]
 }
 
-func (s *Story) print(w io.Writer, l line, depth int) {
+func (s *Story) print(w *strings.Builder, l line, depth int) {
 	fmt.Fprintf(w, "%s%s %s %s", strings.Repeat("  ", depth), l.time, l.process, l.event)
 	for _, k := range keys {
 		if v := l.values[k]; v != "" {
@@ -163,7 +165,7 @@
 }
 
 // missing says which lines the story lacks.
-func (s *Story) missing(w io.Writer) {
+func (s *Story) missing(w *strings.Builder) {
 	var atEntrance, atGate bool
 	for _, l := range s.lines {
 		if l.id != s.ID {
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -40,30 +40,40 @@
 	named  []string
 	voters []string
 	others []string
-	// used are the coordinators that a tie holds, failed when others were tried in vain or lost.
-	used   map[string]bool
+	// first and second are the coordinators of the ties, failed when others were tried in vain or lost.
+	first  string
+	second string
 	failed map[string]time.Time
 }
 
-// take reserves an address for a tie; it reports false when another tie holds it.
-func (f *follower) take(address string) bool {
+// take reports whether a tie may use an address: the second one leaves that of the first alone, while the first takes any,
+// since with one coordinator left it must not do without the directory.
+func (f *follower) take(address string, t tie) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.used[address] {
+	switch {
+	case t.directory:
+		f.first = address
+	case address == f.first:
 		return false
+	default:
+		f.second = address
 	}
-	if f.used == nil {
-		f.used, f.failed = map[string]bool{}, map[string]time.Time{}
-	}
-	f.used[address] = true
 	return true
 }
 
-// drop ends the reservation of an address that failed.
-func (f *follower) drop(now time.Time, address string) {
+// drop notes that a tie to an address has ended.
+func (f *follower) drop(now time.Time, address string, t tie) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.used, address)
+	if t.directory {
+		f.first = ""
+	} else {
+		f.second = ""
+	}
+	if f.failed == nil {
+		f.failed = map[string]time.Time{}
+	}
 	f.failed[address] = now
 }
 
@@ -85,8 +95,8 @@
 	}
 }
 
-// round returns the addresses to try: members in random order, then others that are known; those that failed lately come
-// last.
+// round returns the addresses to try: members in random order, then others that are known; those that failed lately
+// or serve the other tie come last.
 func (f *follower) round(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,13 +110,16 @@
 			out = append(out, a)
 		}
 	}
-	lately := func(a string) int {
+	late := func(a string) (n int) {
 		if t, ok := f.failed[a]; ok && now.Sub(t) < failedLately {
-			return 1
+			n++
+		}
+		if a == f.first || a == f.second {
+			n++
 		}
-		return 0
+		return n
 	}
-	slices.SortStableFunc(out, func(a, b string) int { return lately(a) - lately(b) })
+	slices.SortStableFunc(out, func(a, b string) int { return late(a) - late(b) })
 	return out
 }
 
@@ -132,11 +145,11 @@
 			if ctx.Err() != nil {
 				return
 			}
-			if !n.follower.take(a) {
+			if !n.follower.take(a, t) {
 				continue
 			}
 			confirmed := n.attach(ctx, a, t, time.Since(lost) > unconfirmedAfter)
-			n.follower.drop(time.Now(), a)
+			n.follower.drop(time.Now(), a, t)
 			if confirmed {
 				lost = time.Now()
 				break
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math"
-	"net/http"
 	"sync"
 	"time"
 
@@ -285,29 +282,6 @@
 	g.regulator.Occupied(now, g.limiter.InFlight(), g.queue.Len(), g.limiter.Limit())
 }
 
-// Figures of the lines that tell of the regulation.
-const (
-	// shareStep is the change of the intensity that is told, and shareEvery the least time between two lines.
-	shareStep  = 0.1
-	shareEvery = time.Second
-)
-
-// step steps the regulator.
-func (g *gate) step(now time.Time) {
-	g.regulator.Tick(now)
-	intensity := g.regulator.Intensity()
-	if math.Abs(intensity-g.told) < shareStep || now.Sub(g.toldAt) < shareEvery {
-		return
-	}
-	g.told, g.toldAt = intensity, now
-	l := g.load()
-	if l == nil {
-		return
-	}
-	g.node.Log.Emit(now, crevent.State, crevent.ShareChanged, crevent.KeyService, g.node.Settings.Service, crevent.KeyShare, intensity,
-		crevent.KeyDetail, g.regulator.Demand(), crevent.KeyRunning, l.InFlight, crevent.KeyQueue, l.Queued, crevent.KeySlots, l.Limit)
-}
-
 // idle reports whether nothing runs on the server.
 func (g *gate) idle() bool {
 	g.mu.Lock()
@@ -361,98 +335,3 @@
 	}
 	return g.limiter.Expected("", g.queue.Len())
 }
-
-// exchange sends an admitted call to the server and reads its answer.
-func (g *gate) exchange(ctx context.Context, c *call, l lane, waited time.Duration) *reply {
-	started := time.Now()
-	work := ctx
-	if c.once {
-		// A run that may not be repeated goes on when its caller leaves: it may be complete a moment later.
-		work = context.WithoutCancel(ctx)
-	}
-	work, cancel := context.WithDeadline(work, c.deadline.Add(serverSlack))
-	resp, err := l.client.Do(work, g.request(c, l, started))
-	if err != nil {
-		cancel()
-		return g.failed(c, l, started, waited, err)
-	}
-	r := &reply{code: crcode.OK, status: resp.Status, header: passedOn(resp.Header), length: resp.Length, body: resp.Body}
-	finish := func(result crlimiter.Result) {
-		resp.Close()
-		cancel()
-		r.took = time.Since(started)
-		g.release(l, crlimiter.Sample{Kind: c.route, Latency: r.took, Queued: waited, Result: result})
-	}
-	if resp.Header.Get(g.node.Settings.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
-		if resp.Status == http.StatusMisdirectedRequest {
-			g.down(l, started.Add(g.node.Settings.Heartbeat))
-		}
-		finish(crlimiter.Refused)
-		return &reply{code: crcode.ServerRefused, took: r.took}
-	}
-	if resp.Header.Get("Content-Encoding") != "" {
-		finish(crlimiter.Failure)
-		return &reply{code: crcode.AnswerTruncated, detail: "encoded", took: r.took}
-	}
-	body, length, whole, err := readWhole(resp.Body)
-	if err != nil {
-		finish(crlimiter.Failure)
-		if work.Err() != nil && ctx.Err() != nil {
-			return &reply{code: crcode.CancelledRun, took: r.took}
-		}
-		return &reply{code: crcode.AnswerTruncated, detail: err.Error(), took: r.took}
-	}
-	r.body, r.whole = body, whole
-	if whole {
-		r.length = length
-		finish(resultOf(resp.Status))
-		return r
-	}
-	r.took = time.Since(started)
-	r.close = func() { finish(resultOf(resp.Status)) }
-	return r
-}
-
-func resultOf(status int) crlimiter.Result {
-	if status >= 500 {
-		return crlimiter.Failure
-	}
-	return crlimiter.Success
-}
-
-// request builds what the server gets.
-func (g *gate) request(c *call, l lane, now time.Time) *crexchange.Request {
-	names := g.node.Settings.Headers
-	h := passedOn(c.header)
-	h.Set(names.Timeout, formatMilliseconds(c.deadline.Sub(now)))
-	h.Set(names.Caller, c.caller)
-	h.Set(names.ExpectServer, l.reg.ID)
-	return &crexchange.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body, Length: c.length}
-}
-
-// failed ends a call that got no answer.
-func (g *gate) failed(c *call, l lane, started time.Time, waited time.Duration, err error) *reply {
-	took := time.Since(started)
-	s := crlimiter.Sample{Kind: c.route, Latency: took, Queued: waited, Result: crlimiter.Failure}
-	r := &reply{code: crcode.AnswerLost, detail: err.Error(), took: took}
-	switch {
-	case errors.Is(err, context.Canceled):
-		s.Result, r.code = crlimiter.Cancelled, crcode.CancelledRun
-	case errors.Is(err, crexchange.ErrNotSent):
-		s.Result, r.code = crlimiter.Refused, crcode.NoServer
-		g.down(l, time.Now().Add(downFor))
-	case errors.Is(err, context.DeadlineExceeded):
-		s.Result, r.code = crlimiter.Timeout, crcode.DeadlineRunning
-	}
-	g.release(l, s)
-	return r
-}
-
-// down keeps calls from the server for a while, unless it has started anew.
-func (g *gate) down(l lane, until time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.limiter == l.limiter {
-		g.downUntil = until
-	}
-}
