crrouter: leave out servers that lose one answer in seven, not where all fail alike

Ruled out: the network (losses at the gate beside the server), overload (no queue), repeats (budget spent, as it must be). Change: the bound is 0.15 and at least twice the mean share of the others; in a row of failures the others count too; a server that refuses what fits into its slots counts as failing. Measured: TestEjectionOfLossyServer fails before and passes after.

--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -254,6 +254,9 @@
 		res.Kind = crrouter.Cancelled
 	case r.code == crcode.NoServer || r.code == crcode.StaleIncarnation:
 		res.Kind = crrouter.Unreachable
+	case r.code == crcode.ServerRefused:
+		// The gate sends a server no more than it has slots for, so one that refuses is at fault.
+		res.Kind = crrouter.Failed
 	case r.code.Outcome() == crcode.NotRun:
 		res.Kind = crrouter.Refused
 	default:
--- a/pkg/crrouter/crrouter_test.go
+++ b/pkg/crrouter/crrouter_test.go
@@ -318,3 +318,34 @@
 		r.Done(now, "s19", res)
 	}
 }
+
+// Guards against a server that loses three answers in ten beside sound ones and stays in full use, and against the loss of
+// capacity where all servers fail alike.
+func TestEjectionOfLossyServer(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		r, now := newRouter(4), t0
+		rnd := rand.New(rand.NewPCG(3, 4))
+		counts, out := map[string]int{}, 0
+		for range 4000 {
+			now = now.Add(2 * time.Millisecond)
+			s, err := r.Pick(now, ordinary)
+			qt.Assert(t, err, qt.IsNil)
+			counts[s.ID]++
+			res := crrouter.Result{Latency: 10 * time.Millisecond}
+			if (all || s.ID == "s1") && rnd.Float64() < 0.3 {
+				res.Kind = crrouter.Failed
+			}
+			r.Done(now, s.ID, res)
+			for _, v := range r.View(now) {
+				if v.Ejected {
+					out++
+				}
+			}
+		}
+		if all {
+			qt.Assert(t, out < 4*4000/10, qt.IsTrue, qt.Commentf("%d of %d", out, 4*4000))
+			continue
+		}
+		qt.Assert(t, counts["s1"] < 4000/4/3, qt.IsTrue, qt.Commentf("%v", counts))
+	}
+}
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -23,8 +23,9 @@
 	failuresInRow    = 5
 	timeoutsInRow    = 3
 	unreachableInRow = 2
-	// maxErrors is the share of failed answers that ejects a server without a row, when it is also twice the median.
-	maxErrors = 0.4
+	// maxErrors is the share of failed answers that ejects a server without a row, when it is also twice the median. A chain
+	// of ten calls of which a third meets such a server loses four runs in ten.
+	maxErrors = 0.15
 	// minSamples is the number of answers before shares and latencies are judged.
 	minSamples = 20
 	// A server is slow at outlier times the service's median, and outlierMin above it.
@@ -174,13 +175,18 @@
 
 // bad reports whether the server's record calls for an ejection.
 func (r *Router) bad(s *server) bool {
-	if s.failures >= failuresInRow || s.timeouts >= timeoutsInRow || s.unreachable >= unreachableInRow {
+	if s.timeouts >= timeoutsInRow || s.unreachable >= unreachableInRow {
+		return true
+	}
+	// Where all servers fail alike, leaving one out only loses its capacity.
+	usual, known := r.usualErrors(s)
+	if s.failures >= failuresInRow && s.errors > 2*usual {
 		return true
 	}
 	if s.samples < minSamples {
 		return false
 	}
-	if s.errors > maxErrors && s.errors > 2*r.median(s, func(o *server) float64 { return o.errors }) {
+	if known && s.errors > maxErrors && s.errors > 2*usual {
 		return true
 	}
 	// Comparing latencies sorts up to 20 numbers, so it is done for one answer in eight.
@@ -192,6 +198,21 @@
 	return m > 0 && latency > outlier*m && latency > m+outlierMin
 }
 
+// usualErrors returns the mean share of errors of the other servers, ejected ones included, and whether any is known.
+func (r *Router) usualErrors(except *server) (share float64, known bool) {
+	n := 0
+	for _, o := range r.servers {
+		if o != except && (o.samples >= minSamples || o.ejected) {
+			share += o.errors
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, false
+	}
+	return share / float64(n), true
+}
+
 // median returns the lower median of a figure over the other servers in use that have enough samples; zero if none.
 func (r *Router) median(except *server, figure func(*server) float64) float64 {
 	var buf [MaxServers]float64
