--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -30,12 +30,10 @@
 	Timeout string
 	// Caller is the service of the instance where the request began.
 	Caller string
-	// ExpectServer names the only server that may run the request, ServerID the one that answered.
-	ExpectServer, ServerID string
+	// ExpectServer names the only server that may run the request.
+	ExpectServer string
 	// NotRun marks an answer to a request that the server did not run.
 	NotRun string
-	// Load is the server's own load: running, waiting and slots.
-	Load string
 	// RetryAfter is when a refused client should come back, in seconds.
 	RetryAfter string
 }
@@ -53,16 +51,12 @@
 	// Seeds are addresses of coordinators.
 	Seeds   []string
 	Headers Headers
-	// RetryRatio is the share of its requests that a service may get again within RetryWindow, all nodes together, and
-	// RetrySlack the number beyond it.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
+	// RetryRatio is the share of its requests that a service may get again, all nodes together.
+	RetryRatio float64
 	// Heartbeat is the interval at which the backend server reports itself.
 	Heartbeat time.Duration
-	// MemoryBytes bounds the process; DescriptorLimit its descriptors.
-	MemoryBytes     int64
-	DescriptorLimit int
+	// MemoryBytes bounds the process.
+	MemoryBytes int64
 	// StopTimeout is the time from the order to stop until the process is killed.
 	StopTimeout time.Duration
 }
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -77,6 +77,8 @@
 const (
 	// boardEntries bounds the services on an answer.
 	boardEntries = 4
+	// costEntries bounds the services of a cost on an answer.
+	costEntries = 8
 	// costEvery is how many answers there are to one that tells costs; they change slowly.
 	costEvery = 8
 	// costFirst is how many answers after the start tell costs each, so that entrances learn them within a second.
@@ -100,8 +102,9 @@
 		}
 	}
 	if k := n.answers.Add(1); k < costFirst || k%costEvery == 0 {
-		for service, seconds := range n.ledger.Cost(c.route) {
-			cost = append(cost, fmt.Sprintf("%s=%.0f", url.QueryEscape(service), seconds*1000))
+		costs := n.ledger.Cost(c.route)
+		for _, service := range costs.Top(costEntries) {
+			cost = append(cost, fmt.Sprintf("%s=%.0f", url.QueryEscape(service), costs[service]*1000))
 		}
 	}
 	return strings.Join([]string{
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -25,8 +25,8 @@
 )
 
 var names = crforward.Headers{
-	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", ServerID: "X-Server", NotRun: "X-Not-Run",
-	Load: "X-Load", RetryAfter: "Retry-After",
+	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not-Run",
+	RetryAfter: "Retry-After",
 }
 
 // backend is a stand-in server.
@@ -167,7 +167,7 @@
 	n.Node = &crforward.Node{
 		Settings: crforward.Settings{
 			Name: "n" + b.id, Domain: "a", Service: service, ServerAddress: b.Listener.Addr().String(), Address: inbound.Addr().String(),
-			Seeds: []string{c.seed}, Headers: names, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+			Seeds: []string{c.seed}, Headers: names, RetryRatio: 0.2,
 			Heartbeat: time.Minute, MemoryBytes: 256 << 20, StopTimeout: 3 * time.Second,
 		},
 		Entrance: entrance, Inbound: inbound, Ready: ready, Control: listener(c.t), ControlHandler: http.NotFoundHandler(),
--- a/internal/crreplay/crreplay.go
+++ b/internal/crreplay/crreplay.go
@@ -153,7 +153,7 @@
 	Rows []Row
 	// Occupied is the mean part of the slots of each service that was busy.
 	Occupied map[string]float64
-	// Possible is the worth that the capacity allowed, Best its part of what was owed.
+	// Possible is the part of the owed worth that the slots allowed.
 	Possible float64
 }
 
--- a/pkg/crshed/crshed.go
+++ b/pkg/crshed/crshed.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -321,10 +320,3 @@
 func Shed(intensity float64, below int) float64 {
 	return min(max(intensity-maxShed*float64(below), 0), maxShed)
 }
-
-// Services returns the services with priorities seen, for dumps.
-func (s *Shares) Services() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.seen))
-}
