--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -126,31 +126,23 @@
 }
 
 func (c *Coordinator) start(ctx context.Context, failed chan<- error) {
-	c.run(func() { c.ended("inner", c.endpoint.Serve(c.Inner)) })
-	c.run(func() {
+	c.wg.Go(func() { c.ended("inner", c.endpoint.Serve(c.Inner)) })
+	c.wg.Go(func() {
 		if err := c.replica.Run(ctx); err != nil && ctx.Err() == nil {
 			failed <- err
 		}
 	})
-	c.run(func() { c.ended("directory", c.directory.Run(ctx)) })
-	c.run(func() { c.presenceLoop(ctx) })
-	c.run(func() { c.repairLoop(ctx) })
-	c.run(func() { c.ended("api", cradmin.Serve(ctx, c.API, c.Handler)) })
+	c.wg.Go(func() { c.ended("directory", c.directory.Run(ctx)) })
+	c.wg.Go(func() { c.presenceLoop(ctx) })
+	c.wg.Go(func() { c.repairLoop(ctx) })
+	c.wg.Go(func() { c.ended("api", cradmin.Serve(ctx, c.API, c.Handler)) })
 	if c.Admin != nil {
-		c.run(func() {
+		c.wg.Go(func() {
 			c.ended("admin", cradmin.Serve(ctx, c.Admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
 		})
 	}
 }
 
-func (c *Coordinator) run(f func()) {
-	c.wg.Add(1)
-	go func() {
-		defer c.wg.Done()
-		f()
-	}()
-}
-
 func (c *Coordinator) ended(duty string, err error) {
 	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
 		return
--- a/internal/crcoord/presence.go
+++ b/internal/crcoord/presence.go
@@ -180,10 +180,10 @@
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		for _, a := range c.peers.due(time.Now(), c.memberAddresses()) {
-			c.run(func() { c.hello(ctx, a) })
+			c.wg.Go(func() { c.hello(ctx, a) })
 		}
 		for a, follow := range c.peers.unfollowed(ctx) {
-			c.run(func() { c.directory.Follow(follow, a) })
+			c.wg.Go(func() { c.directory.Follow(follow, a) })
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/crdocument/crdocument.go
+++ b/internal/crdocument/crdocument.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -113,17 +114,13 @@
 		for _, old := range m.accepted[:over] {
 			delete(m.byDigest, string(old.GetDigest()))
 		}
-		m.accepted = withoutFirst(m.accepted, over)
+		// A copy lets the dropped part be collected.
+		m.accepted = slices.Clone(m.accepted[over:])
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
-// withoutFirst copies the rest of a list, so that the dropped part can be collected.
-func withoutFirst(list []*crwire.DocumentDigest, drop int) []*crwire.DocumentDigest {
-	return append([]*crwire.DocumentDigest(nil), list[drop:]...)
-}
-
 func (m *Machine) remember(d *crwire.DocumentDigest) {
 	m.accepted = append(m.accepted, d)
 	m.byDigest[string(d.GetDigest())] = true
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -120,19 +120,19 @@
 	defer cancel()
 	entrance := n.server(http.HandlerFunc(n.serveEntrance), entranceIdle)
 	inbound := n.server(http.HandlerFunc(n.serveInbound), hopIdle)
-	n.run(func() { n.ended("entrance", entrance.Serve(crexchange.Listen(n.Entrance))) })
-	n.run(func() { n.ended("inbound", inbound.Serve(crexchange.Listen(n.Inbound))) })
-	n.run(func() { n.ended("ready", cradmin.Serve(duties, n.Ready, n.readyHandler())) })
-	n.run(func() { n.ended("control", cradmin.Serve(duties, n.Control, n.ControlHandler)) })
+	n.wg.Go(func() { n.ended("entrance", entrance.Serve(crexchange.Listen(n.Entrance))) })
+	n.wg.Go(func() { n.ended("inbound", inbound.Serve(crexchange.Listen(n.Inbound))) })
+	n.wg.Go(func() { n.ended("ready", cradmin.Serve(duties, n.Ready, n.readyHandler())) })
+	n.wg.Go(func() { n.ended("control", cradmin.Serve(duties, n.Control, n.ControlHandler)) })
 	if n.Admin != nil {
-		n.run(func() {
+		n.wg.Go(func() {
 			n.ended("admin", cradmin.Serve(duties, n.Admin, (&cradmin.Admin{Dumper: n, Counters: &n.Counters}).Handler()))
 		})
 	}
-	n.run(func() { n.follow(duties, firstTie) })
-	n.run(func() { n.follow(duties, secondTie) })
-	n.run(func() { n.gate.watch(duties) })
-	n.run(func() { n.measure(duties) })
+	n.wg.Go(func() { n.follow(duties, firstTie) })
+	n.wg.Go(func() { n.follow(duties, secondTie) })
+	n.wg.Go(func() { n.gate.watch(duties) })
+	n.wg.Go(func() { n.measure(duties) })
 	n.started.Store(true)
 	n.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyService, n.Settings.Service, crevent.KeyAddress, n.Settings.Address)
 	<-ctx.Done()
@@ -174,14 +174,6 @@
 	}
 }
 
-func (n *Node) run(f func()) {
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		f()
-	}()
-}
-
 func (n *Node) ended(duty string, err error) {
 	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
 		return
