crnode: let completions arrive before TestResendHoursLater moves the clocks

Completions go to the third keeper of a group in the background. One that was under way while the clocks jumped reached a keeper that had not seen the claim, made a record stamped with the new time, and so lived for another lifetime. A trace of the inserts of old ids showed 32 by completions and none by a hand-over; the failing runs had 1, 5 or 10 such completions each, as many as the records they named.

Ruled out: load alone (the wait is 30 s and the records stay), hand-overs between keepers (no record was aged anew), claims (those counted all came from ids that the test sends after the jump). Real time does not pass by hours while a message is under way, so the keeper stays as it is.

Change: the test waits until every keeper holds every record, which it did not check before, and only then moves the clocks. Nothing else in it changes.

Conclusion: a fault of the test, mended by a stricter one.

--- a/internal/crnode/once_test.go
+++ b/internal/crnode/once_test.go
@@ -151,6 +151,16 @@
 		ids = append(ids, id)
 		k.C.Assert(k.Send(k.Nodes[0], "ledger/record", crtest.Request{ID: id}).Code, qt.Equals, crcode.OK)
 	}
+	// A completion that is on its way while the clocks jump would arrive hours late, which no message does, and make a
+	// record of its own.
+	k.Until(func() error {
+		for _, n := range k.Nodes {
+			if r := n.Dump().Keeper.Records; r != len(ids) {
+				return fmt.Errorf("%s has %d records", n.Name, r)
+			}
+		}
+		return nil
+	})
 	for _, f := range shift {
 		f(3 * time.Hour)
 	}
