crforward: tell clients' requests from calls by the number of instances

Cause: on 79 machines with 43, 24, 8 and 4 servers of the four services, a route of clients was classified as calls of running work at some gates. The classification took the services for equally large: 48 requests none of which came from an instance of the smallest service were enough, and of 48 requests that random clients send, none comes from there in one case of eleven. What is classified as calls is never turned away at the entrance and goes first at the gate, so that the deep service stayed flooded and direct requests were refused there.

Change: a service counts as one that never sends only when its instances would have sent twelve by their number; and the entrance says on a call whether its server ran nothing at that time, which only clients' requests can do, so that gates know clients' routes at the start after three requests.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -32,6 +32,8 @@
 	rank     cradmission.Priority
 	// caller is the service of the instance where the request began.
 	caller string
+	// idle tells that the server of that instance ran nothing, so that a client sent the request.
+	idle bool
 	// once forbids a second run.
 	once bool
 	// origin tells whether clients or servers send the requests of the route, as far as known.
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -67,22 +67,16 @@
 		id: req.Header.Get(names.RequestID), route: route.Name, service: route.Service(rand.Float64()), method: req.Method,
 		target: req.RequestURI, host: req.Host, header: req.Header, body: req.Body, length: req.ContentLength,
 		deadline: now.Add(min(left, route.Timeout)), caller: n.Settings.Service, once: !route.Repeatable(),
-		origin: n.originOf(route.Name),
+		idle: n.gate.idle(),
+	}
+	c.origin = n.origins.of(route.Name)
+	if c.origin == originUnknown && c.idle {
+		c.origin = originClients
 	}
 	c.rank = cradmission.NewPriority(cradmission.Ordinary, uint32(topWorth-min(max(route.Priority, 0), topWorth-1)), c.id)
 	return c
 }
 
-// originOf returns who sends the requests of a route. While nothing runs on the backend server of this instance it makes
-// no calls, so that a request of an unknown route is a client's.
-func (n *Node) originOf(route string) origin {
-	o := n.origins.of(route)
-	if o == originUnknown && n.gate.idle() {
-		return originClients
-	}
-	return o
-}
-
 func (n *Node) serveCall(w http.ResponseWriter, req *http.Request, c *call, route *crroute.Route, arrived time.Time) {
 	if r := n.admit(arrived, c, route); r != nil {
 		n.finishBody(w, c)
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -282,7 +282,7 @@
 	g.regulator.Occupied(now, g.limiter.InFlight(), g.queue.Len(), g.limiter.Limit())
 }
 
-// idle reports whether nothing runs on the server.
+// idle reports whether nothing runs on the server, which then makes no calls.
 func (g *gate) idle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -302,7 +302,7 @@
 // do runs the call on the server; ctx ends when the caller has left.
 func (g *gate) do(ctx context.Context, c *call) *reply {
 	start := time.Now()
-	from := g.origins.count(start, c.route, c.caller, g.node.services.withServers())
+	from := g.origins.count(start, c.route, c.caller, c.idle, g.node.services.withServers())
 	if from == originServers {
 		// The work above is lost with its call.
 		c.rank = cradmission.NewPriority(cradmission.Protected, c.rank.Worth(), c.id)
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -25,7 +25,12 @@
 	callFields
 )
 
-const flagOnce = "o"
+// Flags of a call.
+const (
+	flagOnce = "o"
+	// flagIdle tells that the server beside the entrance ran nothing when the request came.
+	flagIdle = "i"
+)
 
 // formatCall writes what the gate needs to know of a call.
 func formatCall(c *call, now time.Time) string {
@@ -33,6 +38,9 @@
 	if c.once {
 		flags += flagOnce
 	}
+	if c.idle {
+		flags += flagIdle
+	}
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
 		strconv.FormatUint(uint64(c.rank), 36), url.QueryEscape(c.caller), flags,
@@ -56,6 +64,7 @@
 	}
 	c.deadline, c.rank = now.Add(left), cradmission.Priority(rank)
 	c.once = strings.Contains(f[callFlags], flagOnce)
+	c.idle = strings.Contains(f[callFlags], flagIdle)
 	return nil
 }
 
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -1,7 +1,6 @@
 package crforward
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,8 +47,8 @@
 	node *Node
 	mu   sync.Mutex
 	all  map[string]*service
-	// present are the services with servers.
-	present atomic.Pointer[[]string]
+	// present is the number of servers of each service that has any.
+	present atomic.Pointer[map[string]int]
 }
 
 func (s *services) get(name string) *service {
@@ -87,10 +86,10 @@
 	return out
 }
 
-// withServers returns the services that have servers, sorted.
-func (s *services) withServers() []string {
-	if names := s.present.Load(); names != nil {
-		return *names
+// withServers returns the number of servers of each service that has any; the map must not be changed.
+func (s *services) withServers() map[string]int {
+	if m := s.present.Load(); m != nil {
+		return *m
 	}
 	return nil
 }
@@ -98,26 +97,25 @@
 // everything returns all services with servers as if a route took a second of each.
 func (s *services) everything() crcost.Vector {
 	v := crcost.Vector{}
-	for _, name := range s.withServers() {
+	for name := range s.withServers() {
 		v[name] = 1
 	}
 	return v
 }
 
-// recount finds the services that have servers.
+// recount counts the servers of the services.
 func (s *services) recount() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var names []string
+	present := map[string]int{}
 	for name, v := range s.all {
 		v.mu.Lock()
-		if len(v.addresses) > 0 {
-			names = append(names, name)
+		if n := len(v.addresses); n > 0 {
+			present[name] = n
 		}
 		v.mu.Unlock()
 	}
-	slices.Sort(names)
-	s.present.Store(&names)
+	s.present.Store(&present)
 }
 
 // takeSubset takes the servers of a service from the directory.
