crsoak: break real processes by a seeded schedule and check the promises

Cause: the failure tests set up one fault each; nothing ran coordinators and nodes as processes while signals, restarts, cuts and leaving servers overlap, outside of the users' bench.

Change: `citronramp soak` starts three coordinators and six nodes of the platform with stand-in servers, clients and an operator on loopback addresses, plays a schedule drawn from the seed (kill, stop, freeze, reload, wiped disks, crashing and leaving servers, proxies that delay, reset, silence or cut one way), and checks from outside: nothing runs twice, nothing said not to have run runs, answers are whole, a confirmed server gets nothing after the drain time, acknowledged versions neither fall nor get refused and come into force everywhere, planned stops lose nothing and end in the grace time, time limits, the retry budget, recovery. platform/ encodes what stand-ins send. The schedule and the checks are pure and have tests of their own.

Ruled out: cuts between coordinators and between nodes, which announce the addresses that they listen on; clocks and full disks are not covered yet either.

--- a/internal/crcli/crcli.go
+++ b/internal/crcli/crcli.go
@@ -68,7 +68,7 @@
 		},
 		Commands: []*cli.Command{
 			nodeCommand(s), controlCommand(s), checkCommand(s), dumpCommand(s), ctlCommand(s), demoCommand(s), benchCommand(s),
-			capacityCommand(s), platformCommand(s), explainCommand(s), replayCommand(s),
+			capacityCommand(s), platformCommand(s), explainCommand(s), replayCommand(s), soakCommand(s),
 		},
 	}
 }
--- /dev/null
+++ b/internal/crsoak/backend.go
@@ -0,0 +1,211 @@
+package crsoak
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crforward"
+	"github.com/citronramp/citronramp/platform"
+)
+
+// serverHeader marks the answers of stand-in servers.
+const serverHeader = "Soak-Server"
+
+// Figures of stand-in servers.
+const (
+	serverSlots    = 20
+	heartbeatEvery = 500 * time.Millisecond
+	// workTime is how long a run takes; calls below come on top.
+	workTime = 10 * time.Millisecond
+)
+
+// backend is a stand-in for a backend server, with one lifetime after another.
+type backend struct {
+	service, zone string
+	// listen is where it listens, announced where its node reaches it, control the node's address for heartbeats, entrance
+	// the node's for calls.
+	listen, announced, control, entrance string
+	promises                             *promises
+
+	mu       sync.Mutex
+	lifetime *lifetime
+	count    int
+}
+
+// lifetime is one start of a server.
+type lifetime struct {
+	backend *backend
+	server  *http.Server
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu        sync.Mutex
+	report    crforward.Report
+	confirmed time.Time
+}
+
+// want is the answer to a request.
+func want(id string, body []byte) string {
+	sum := sha256.Sum256(append([]byte(id+"\n"), body...))
+	return hex.EncodeToString(sum[:])
+}
+
+// begin starts a new lifetime.
+func (b *backend) begin() error {
+	ln, err := net.Listen("tcp", b.listen)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count++
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &lifetime{backend: b, cancel: cancel, report: crforward.Report{
+		ID: fmt.Sprintf("%s-%s-%d", b.service, b.listen, b.count), Service: b.service, Address: b.announced, Born: time.Now(), Slots: serverSlots,
+	}}
+	l.server = &http.Server{Handler: http.HandlerFunc(l.serve)}
+	b.lifetime = l
+	go func() {
+		// Serve ends with the lifetime.
+		_ = l.server.Serve(ln)
+	}()
+	l.done.Go(func() { l.beat(ctx) })
+	return nil
+}
+
+// crash ends the lifetime at once.
+func (b *backend) crash() {
+	b.mu.Lock()
+	l := b.lifetime
+	b.lifetime = nil
+	b.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.cancel()
+	_ = l.server.Close()
+	l.done.Wait()
+}
+
+// drain says that the server leaves, serves on for a while, says goodbye and ends.
+func (b *backend) drain(ctx context.Context, d time.Duration) error {
+	b.mu.Lock()
+	l := b.lifetime
+	b.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	l.report.Draining = true
+	l.mu.Unlock()
+	l.announce(ctx)
+	err := sleep(ctx, d)
+	l.mu.Lock()
+	target, body, encodeErr := platform.EncodeLeave(l.report)
+	l.mu.Unlock()
+	if err == nil && encodeErr == nil {
+		_, _ = post(ctx, "http://"+b.control+target, body) // a server that gets no answer leaves all the same
+	}
+	b.crash()
+	return err
+}
+
+func (l *lifetime) beat(ctx context.Context) {
+	tick := time.NewTicker(heartbeatEvery)
+	defer tick.Stop()
+	for {
+		l.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// announce sends one heartbeat; a node that is down misses it.
+func (l *lifetime) announce(ctx context.Context) {
+	l.mu.Lock()
+	l.report.Sequence++
+	report := l.report
+	l.mu.Unlock()
+	target, body, err := platform.EncodeReport(report, l.backend.zone)
+	if err != nil {
+		l.backend.promises.broke("soak", "", err.Error())
+		return
+	}
+	status, err := post(ctx, "http://"+l.backend.control+target, body)
+	if err != nil || status != http.StatusOK || !report.Draining {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.confirmed.IsZero() {
+		l.confirmed = time.Now()
+	}
+}
+
+// post sends a call of the platform.
+func post(ctx context.Context, target string, body []byte) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // only the status counts
+	return resp.StatusCode, resp.Body.Close()
+}
+
+func (l *lifetime) serve(w http.ResponseWriter, req *http.Request) {
+	now, names := time.Now(), platform.RequestHeaders()
+	id := req.Header.Get(names.RequestID)
+	w.Header().Set(serverHeader, l.backend.listen)
+	w.Header().Set(names.RequestID, id)
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return // the caller has gone
+	}
+	l.mu.Lock()
+	if !l.confirmed.IsZero() && now.Sub(l.confirmed) > drainTime {
+		l.backend.promises.broke("drain", id, fmt.Sprintf("arrives %s after the confirmation", now.Sub(l.confirmed)))
+	}
+	l.mu.Unlock()
+	once := strings.HasPrefix(req.URL.Path, recordPath)
+	l.backend.promises.ran(now, l.backend.service, id, once)
+	time.Sleep(workTime)
+	if strings.HasPrefix(req.URL.Path, lookPath) && !l.call(req, id, now) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(w, want(id, body)) // the caller may have gone
+}
+
+// call makes the call below; its id follows from that of the request, so that a repeat is seen there too.
+func (l *lifetime) call(parent *http.Request, id string, began time.Time) bool {
+	names := platform.RequestHeaders()
+	left, err := strconv.Atoi(parent.Header.Get(names.Timeout))
+	if err != nil {
+		return false
+	}
+	r := request{id: id + ".1", method: http.MethodGet, path: innerPath, left: time.Duration(left)*time.Millisecond - time.Since(began)}
+	got := r.send(parent.Context(), http.DefaultClient, "http://"+l.backend.entrance)
+	if got.end == refusedEnd {
+		l.backend.promises.refused(time.Now(), r.id)
+	}
+	return got.end == answeredEnd
+}
--- /dev/null
+++ b/internal/crsoak/client.go
@@ -0,0 +1,150 @@
+package crsoak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/citronramp/citronramp/platform"
+)
+
+// Figures of clients.
+const (
+	clientsPerEntrance = 4
+	// thinkTime bounds the pause between two requests of a client.
+	thinkTime = 60 * time.Millisecond
+	// lookShare is the part of requests that make a call below.
+	lookShare = 0.6
+)
+
+// end is how a request ended for its sender.
+type end uint8
+
+const (
+	failedEnd end = iota
+	answeredEnd
+	refusedEnd
+)
+
+// request is one send.
+type request struct {
+	id, method, path string
+	body             []byte
+	left             time.Duration
+}
+
+// response is what came back; broken tells that the connection ended without a whole answer.
+type response struct {
+	end    end
+	broken error
+	wrong  string
+}
+
+// send sends the request and judges the answer.
+func (r request) send(ctx context.Context, c *http.Client, base string) response {
+	ctx, cancel := context.WithTimeout(ctx, max(r.left, 0)+3*lateSlack)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, r.method, base+r.path+"1", bytes.NewReader(r.body))
+	if err != nil {
+		return response{wrong: err.Error()}
+	}
+	names := platform.RequestHeaders()
+	req.Host = host
+	req.Header.Set(names.RequestID, r.id)
+	req.Header.Set(names.Timeout, strconv.FormatInt(max(r.left, 0).Milliseconds(), 10))
+	resp, err := c.Do(req)
+	if err != nil {
+		return response{broken: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		return response{broken: err}
+	}
+	return r.judge(resp, string(body))
+}
+
+func (r request) judge(resp *http.Response, body string) response {
+	fromServer := resp.Header.Get(serverHeader) != ""
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if !fromServer || body != want(r.id, r.body) {
+			return response{wrong: fmt.Sprintf("200 with %d bytes that are not the answer", len(body))}
+		}
+		return response{end: answeredEnd}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if !fromServer {
+			return response{end: refusedEnd}
+		}
+	}
+	return response{}
+}
+
+// client sends requests at one entrance, over connections that it keeps.
+type client struct {
+	soak    *run
+	machine int
+	name    string
+	rng     *rand.Rand
+	http    *http.Client
+	count   int
+	probe   bool
+}
+
+func (r *run) newClient(machine, number int) *client {
+	return &client{
+		soak: r, machine: machine, name: fmt.Sprintf("%x.%d.%d", r.Seed, machine, number),
+		rng:  rand.New(rand.NewPCG(r.Seed, uint64(1+machine*100+number))),
+		http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}},
+	}
+}
+
+func (c *client) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.once(ctx)
+		if sleep(ctx, time.Duration(c.rng.Float64()*float64(thinkTime))) != nil {
+			return
+		}
+	}
+}
+
+// once sends one request, checks its end and reports whether it was answered.
+func (c *client) once(ctx context.Context) bool {
+	c.count++
+	suffix := ""
+	if c.probe {
+		suffix = "p"
+	}
+	r := request{id: fmt.Sprintf("%s.%d%s", c.name, c.count, suffix), method: http.MethodGet, path: lookPath, left: requestTimeout}
+	service := frontService
+	if c.rng.Float64() >= lookShare {
+		r.method, r.path, r.body, service = http.MethodPost, recordPath, []byte("sacks of "+r.id), ledgerService
+	}
+	p, entrance := c.soak.promises, c.soak.entrances[c.machine]
+	began := time.Now()
+	p.sends(began, service)
+	got := r.send(ctx, c.http, "http://"+entrance.ln.Addr().String())
+	if ctx.Err() != nil {
+		return false
+	}
+	now := time.Now()
+	p.ended(now, r.id, got.end)
+	if got.wrong != "" {
+		p.broke("whole answers", r.id, got.wrong)
+	}
+	stopping := c.soak.nodes[c.machine].stopping()
+	disturbed := p.disturbed(c.machine, began)
+	// A client cannot tell whether a POST on a connection that it kept was read; a GET was sent again if it was not.
+	if got.broken != nil && r.method == http.MethodGet && !disturbed && !entrance.refused(began) {
+		p.broke("nothing is lost", r.id, fmt.Sprintf("the connection ended (stopping %t): %v", stopping, got.broken))
+	}
+	if took := now.Sub(began); took > requestTimeout+lateSlack && !disturbed && !stopping {
+		p.broke("time limit", r.id, took.String())
+	}
+	return got.end == answeredEnd
+}
--- /dev/null
+++ b/internal/crsoak/crsoak_test.go
@@ -0,0 +1,165 @@
+package crsoak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPlan guards against a schedule that a seed does not repeat, and against one that takes more than is borne: two
+// coordinators or all machines of a service at a time.
+func TestPlan(t *testing.T) {
+	kinds := map[Kind]int{}
+	for seed := range uint64(200) {
+		plan := Plan(seed, 20*time.Second)
+		qt.Assert(t, Plan(seed, 20*time.Second), qt.DeepEquals, plan)
+		var coreUntil time.Duration
+		for i, a := range plan {
+			kinds[a.Kind]++
+			f := faultOf(a.Kind)
+			qt.Assert(t, f.link, qt.Equals, a.Link != pass)
+			if f.core {
+				qt.Assert(t, a.At >= coreUntil, qt.IsTrue)
+				coreUntil = a.At + a.For + f.settles
+				continue
+			}
+			same := map[int]bool{a.Target: true}
+			for _, b := range plan[:i] {
+				g := faultOf(b.Kind)
+				if !g.core && b.Target/servers == a.Target/servers && a.At < b.At+b.For+g.settles {
+					qt.Assert(t, same[b.Target], qt.IsFalse, qt.Commentf("seed %d: %s while %s", seed, a, b))
+					same[b.Target] = true
+				}
+			}
+			qt.Assert(t, len(same) < servers, qt.IsTrue)
+		}
+	}
+	qt.Assert(t, kinds, qt.HasLen, len(faults))
+}
+
+// TestPromises guards against a check that misses a broken promise.
+func TestPromises(t *testing.T) {
+	now := time.Unix(100, 0)
+	for name, broken := range map[string]func(p *promises){
+		"runs twice": func(p *promises) {
+			p.ran(now, ledgerService, "a", true)
+			p.ran(now, ledgerService, "a", true)
+		},
+		"said not to have run": func(p *promises) {
+			p.refused(now, "a")
+			p.ran(now, ledgerService, "a", false)
+		},
+		"whole answers": func(p *promises) { p.ended(now, "a", answeredEnd) },
+		"retry budget": func(p *promises) {
+			for i := range 10 * budgetSlack {
+				p.ran(now, frontService, fmt.Sprint(i/2), false)
+			}
+		},
+	} {
+		p := newPromises(now)
+		p.ran(now, frontService, "b", false)
+		p.ended(now, "b", answeredEnd)
+		qt.Assert(t, p.result().Broken, qt.HasLen, 0)
+		broken(p)
+		qt.Assert(t, p.result().Broken, qt.HasLen, 1)
+		qt.Assert(t, p.result().Broken[0].Promise, qt.Equals, name)
+	}
+	p := newPromises(now)
+	p.ran(now, ledgerService, "a", true)
+	p.ended(now, "a", refusedEnd)
+	qt.Assert(t, p.result().Broken[0].Promise, qt.Equals, "said not to have run")
+	p.disturb(2)
+	qt.Assert(t, p.disturbed(2, now), qt.IsTrue)
+	p.calm(now, 2)
+	qt.Assert(t, p.disturbed(2, now), qt.IsTrue)
+	qt.Assert(t, p.disturbed(2, now.Add(2*time.Second)), qt.IsFalse)
+	qt.Assert(t, p.disturbed(1, now), qt.IsFalse)
+}
+
+// TestProxy guards against a link that breaks otherwise than it says.
+func TestProxy(t *testing.T) {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = echo.Close() }()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	p, err := newProxy("127.0.0.1:0", echo.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer p.close()
+	say := func(c net.Conn, wait time.Duration) (string, time.Duration) {
+		began := time.Now()
+		_, err := c.Write([]byte("hello"))
+		if err != nil {
+			return err.Error(), 0
+		}
+		qt.Assert(t, c.SetReadDeadline(began.Add(wait)), qt.IsNil)
+		buf := make([]byte, 5)
+		if _, err = io.ReadFull(c, buf); err != nil {
+			return "nothing", 0
+		}
+		return string(buf), time.Since(began)
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.ln.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		return c
+	}
+	c := dial()
+	got, _ := say(c, time.Second)
+	qt.Assert(t, got, qt.Equals, "hello")
+	p.set(Delayed)
+	got, took := say(c, time.Second)
+	qt.Assert(t, got, qt.Equals, "hello")
+	qt.Assert(t, took >= 2*delay, qt.IsTrue, qt.Commentf("%s", took))
+	for _, m := range []Mode{Silent, OneWayUp, OneWayDown} {
+		p.set(m)
+		got, _ = say(dial(), 200*time.Millisecond)
+		qt.Assert(t, got, qt.Equals, "nothing", qt.Commentf("%s", m))
+	}
+	p.set(Reset)
+	_, err = c.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNotNil)
+	p.set(pass)
+	got, _ = say(dial(), time.Second)
+	qt.Assert(t, got, qt.Equals, "hello")
+}
+
+// program builds the program once.
+func program(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "citronramp")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/citronramp/citronramp/cmd/citronramp").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return path
+}
+
+// network returns a loopback network of this test process alone.
+func network() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d", 50+pid%50, pid/50%250)
+}
+
+// TestSoak plays a short schedule on real processes.
+func TestSoak(t *testing.T) {
+	var out strings.Builder
+	s := &Soak{Program: program(t), Dir: t.TempDir(), Seed: 1, Duration: 10 * time.Second, Network: network(), Out: &out}
+	result, err := s.Run(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, result.Broken, qt.HasLen, 0, qt.Commentf("%s", out.String()))
+	qt.Assert(t, result.Answered > 500, qt.IsTrue, qt.Commentf("%s", out.String()))
+	qt.Assert(t, result.Versions > 5, qt.IsTrue, qt.Commentf("%s", out.String()))
+}
--- /dev/null
+++ b/internal/crsoak/operator.go
@@ -0,0 +1,177 @@
+package crsoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/citronramp/citronramp/pkg/crroute"
+	"github.com/citronramp/citronramp/platform"
+)
+
+// changeEvery is the mean time between two configurations.
+const changeEvery = 700 * time.Millisecond
+
+// operator puts one configuration after another and asks for the newest.
+type operator struct {
+	promises *promises
+	// cores are the addresses for operators, nodes those of the nodes' metrics.
+	cores, nodes []string
+	rng          *rand.Rand
+
+	mu    sync.Mutex
+	acked uint64
+}
+
+func (o *operator) acknowledged() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.acked
+}
+
+// document returns the configuration of a version; versions differ in a route of their own.
+func document(version uint64) ([]byte, error) {
+	route := func(name, path, service string, kind crroute.Kind, attempts int) crroute.Route {
+		return crroute.Route{
+			Name: name, Host: host, Prefix: path, Kind: kind, Timeout: requestTimeout, Target: requestTimeout,
+			Shares: []crroute.Share{{Service: service, Weight: 1}}, MaxAttempts: attempts,
+		}
+	}
+	routes := []crroute.Route{
+		route("look", lookPath, frontService, crroute.Repeatable, 2),
+		route("record", recordPath, ledgerService, crroute.Once, 2),
+		route("inner", innerPath, ledgerService, crroute.Repeatable, 2),
+		route(fmt.Sprintf("version-%d", version), fmt.Sprintf("/version/%d/", version), frontService, crroute.Repeatable, 1),
+	}
+	services := []crroute.Service{
+		{Name: frontService, HealthPath: "/health", MaxConnections: 100}, {Name: ledgerService, HealthPath: "/health", MaxConnections: 100},
+	}
+	return platform.EncodeDocument(version, version-1, routes, services)
+}
+
+func (o *operator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.put(ctx, o.acknowledged()+1)
+		o.get(ctx)
+		if sleep(ctx, time.Duration(o.rng.ExpFloat64()*float64(changeEvery))) != nil {
+			return
+		}
+	}
+}
+
+// put sends a configuration, unchanged and to any coordinator, until it is acknowledged.
+func (o *operator) put(ctx context.Context, version uint64) bool {
+	body, err := document(version)
+	if err != nil {
+		o.promises.broke("soak", "", err.Error())
+		return false
+	}
+	for ctx.Err() == nil {
+		status, answer := o.ask(ctx, platform.PutTarget(), body)
+		switch {
+		case status == http.StatusOK:
+			o.mu.Lock()
+			o.acked = version
+			o.mu.Unlock()
+			return true
+		case status >= 400 && status < 500:
+			o.promises.broke("acknowledgements", "", fmt.Sprintf("version %d is refused with %d: %s", version, status, answer))
+			return false
+		}
+		if sleep(ctx, 150*time.Millisecond) != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// get asks for the newest configuration, which must not be older than what was acknowledged before.
+func (o *operator) get(ctx context.Context) (uint64, bool) {
+	least := o.acknowledged()
+	status, answer := o.ask(ctx, platform.GetTarget(), nil)
+	if status != http.StatusOK {
+		return 0, false
+	}
+	version, err := platform.DecodeVersion(answer)
+	if err != nil || version < least {
+		o.promises.broke("acknowledged versions", "", fmt.Sprintf("version %d after %d was acknowledged (%v)", version, least, err))
+	}
+	return version, true
+}
+
+// ask sends a call to a coordinator drawn by lot; the status is zero when there was no answer.
+func (o *operator) ask(ctx context.Context, target string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	address := o.cores[o.rng.IntN(len(o.cores))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+target, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// last checks at the end that the newest configuration is there and in force at each node.
+func (o *operator) last(ctx context.Context) {
+	deadline := time.Now().Add(recoverLimit)
+	for {
+		_, ok := o.get(ctx)
+		behind := o.behind(ctx)
+		if ok && behind == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			o.promises.broke("configurations come into force", "", fmt.Sprintf("version %d: answered %t, behind: %s", o.acknowledged(), ok, behind))
+			return
+		}
+		if sleep(ctx, 200*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
+// behind names a node that has an older configuration in force than the acknowledged one.
+func (o *operator) behind(ctx context.Context) string {
+	for _, address := range o.nodes {
+		v, err := inForce(ctx, address)
+		if err != nil || v < o.acknowledged() {
+			return fmt.Sprintf("%s has %d (%v)", address, v, err)
+		}
+	}
+	return ""
+}
+
+// inForce reads the version in force from the metrics of a node.
+func inForce(ctx context.Context, address string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var vars struct {
+		Version uint64 `json:"config_version"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&vars)
+	return vars.Version, err
+}
