crsoak: give each run's calls ids of their own

The stand-in server gave the call of a repeated run the id that the first run's call had, so that two sends shared one id. The promise speaks of one send.

Ruled out: a node that refuses and still passes on: the lines show the refusal at a node that had just started and knew no servers, and the run under another parent run.

Change: the id of a call ends in the number of the run that makes it; calls of repeated runs count as repeats for the budget by that number, as before.

Measured: TestSoak passes. Conclusion: a fault of the stand-in.

--- a/internal/crsoak/backend.go
+++ b/internal/crsoak/backend.go
@@ -186,23 +186,27 @@
 	}
 	l.mu.Unlock()
 	once := strings.HasPrefix(req.URL.Path, recordPath)
-	l.backend.promises.ran(now, l.backend.service, id, once)
+	repeat := strings.HasPrefix(req.URL.Path, innerPath) && !strings.HasSuffix(id, firstRun)
+	run := l.backend.promises.ran(now, l.backend.service, id, once, repeat)
 	time.Sleep(workTime)
-	if strings.HasPrefix(req.URL.Path, lookPath) && !l.call(req, id, now) {
+	if strings.HasPrefix(req.URL.Path, lookPath) && !l.call(req, fmt.Sprintf("%s.%d", id, run), now) {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	_, _ = io.WriteString(w, want(id, body)) // the caller may have gone
 }
 
-// call makes the call below; its id follows from that of the request, so that a repeat is seen there too.
+// firstRun ends the id of a call that the first run of its request makes; each run calls with an id of its own.
+const firstRun = ".1"
+
+// call makes the call below.
 func (l *lifetime) call(parent *http.Request, id string, began time.Time) bool {
 	names := platform.RequestHeaders()
 	left, err := strconv.Atoi(parent.Header.Get(names.Timeout))
 	if err != nil {
 		return false
 	}
-	r := request{id: id + ".1", method: http.MethodGet, path: innerPath, left: time.Duration(left)*time.Millisecond - time.Since(began)}
+	r := request{id: id, method: http.MethodGet, path: innerPath, left: time.Duration(left)*time.Millisecond - time.Since(began)}
 	got := r.send(parent.Context(), http.DefaultClient, "http://"+l.backend.entrance)
 	if got.end == refusedEnd {
 		l.backend.promises.refused(time.Now(), r.id)
--- a/internal/crsoak/crsoak_test.go
+++ b/internal/crsoak/crsoak_test.go
@@ -50,22 +50,22 @@
 	now := time.Unix(100, 0)
 	for name, broken := range map[string]func(p *promises){
 		"runs twice": func(p *promises) {
-			p.ran(now, ledgerService, "a", true)
-			p.ran(now, ledgerService, "a", true)
+			p.ran(now, ledgerService, "a", true, false)
+			p.ran(now, ledgerService, "a", true, false)
 		},
 		"said not to have run": func(p *promises) {
 			p.refused(now, "a")
-			p.ran(now, ledgerService, "a", false)
+			p.ran(now, ledgerService, "a", false, false)
 		},
 		"whole answers": func(p *promises) { p.ended(now, "a", answeredEnd) },
 		"retry budget": func(p *promises) {
 			for i := range 10 * budgetSlack {
-				p.ran(now, frontService, fmt.Sprint(i/2), false)
+				p.ran(now, frontService, fmt.Sprint(i/2), false, false)
 			}
 		},
 	} {
 		p := newPromises(now)
-		p.ran(now, frontService, "b", false)
+		p.ran(now, frontService, "b", false, false)
 		p.ended(now, "b", answeredEnd)
 		qt.Assert(t, p.result().Broken, qt.HasLen, 0)
 		broken(p)
@@ -73,7 +73,7 @@
 		qt.Assert(t, p.result().Broken[0].Promise, qt.Equals, name)
 	}
 	p := newPromises(now)
-	p.ran(now, ledgerService, "a", true)
+	p.ran(now, ledgerService, "a", true, false)
 	p.ended(now, "a", refusedEnd)
 	qt.Assert(t, p.result().Broken[0].Promise, qt.Equals, "said not to have run")
 	p.disturb(2)
--- a/internal/crsoak/promises.go
+++ b/internal/crsoak/promises.go
@@ -65,17 +65,18 @@
 	p.found.Broken = append(p.found.Broken, Broken{now.Sub(p.start), promise, id, detail})
 }
 
-// ran is called when a server begins to run a request.
-func (p *promises) ran(now time.Time, service, id string, once bool) {
+// ran is called when a server begins to run a request, and returns how many times it has run. Calls of a run that was
+// itself a repeat are repeats too.
+func (p *promises) ran(now time.Time, service, id string, once, repeat bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.runs[id]++
 	w := p.window(now, service)
-	if p.runs[id] > 1 {
+	if repeat || p.runs[id] > 1 {
 		w.repeats++
-		if once {
-			p.breaks(now, "runs twice", id, fmt.Sprintf("%d runs", p.runs[id]))
-		}
+	}
+	if once && p.runs[id] > 1 {
+		p.breaks(now, "runs twice", id, fmt.Sprintf("%d runs", p.runs[id]))
 	}
 	if p.notRun[id] {
 		p.breaks(now, "said not to have run", id, "it runs afterwards")
@@ -84,6 +85,7 @@
 		w.brokenReported = true
 		p.breaks(now, "retry budget", id, fmt.Sprintf("%d repeats at %s, %.0f allowed", w.repeats, service, allowed))
 	}
+	return p.runs[id]
 }
 
 func (p *promises) window(now time.Time, service string) *window {
