crrouter, crforward: log ejected and returned servers with their record

Cause: nothing in the logs told that a node had stopped sending to a server, so that a grey or falsely healthy one was found only by its answers.

Change: Done returns what it changed and the record that decided it; the entrance writes server_ejected and server_returned with service, server, last code and status, part of failed answers and bad ends in a row. Ruled out: a line for each probe, which would be one for each half second and server.

--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -30,6 +30,8 @@
 	ServerJoined   Event = "server_joined"
 	ServerDraining Event = "server_draining"
 	ServerGone     Event = "server_gone"
+	ServerEjected  Event = "server_ejected"
+	ServerReturned Event = "server_returned"
 	ServersChanged Event = "servers_changed"
 	ConfigLearned  Event = "config_learned"
 	ConfigAccepted Event = "config_accepted"
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -157,7 +157,7 @@
 		r = n.send(ctx, s.address(server.ID), c)
 		took := time.Since(now)
 		usual := s.usually(c.route)
-		s.router.Done(time.Now(), server.ID, routerResult(r, took, usual))
+		n.logChange(s, server.ID, r, s.router.Done(time.Now(), server.ID, routerResult(r, took, usual)))
 		if r.code == crcode.OK && r.status < 500 {
 			s.answered(c.route, took)
 		}
@@ -217,6 +217,19 @@
 	return true
 }
 
+// logChange tells that a server was ejected or returned, with the last answer and the record that decided it.
+func (n *Node) logChange(s *service, server string, r *reply, c crrouter.Change) {
+	event := crevent.ServerEjected
+	switch {
+	case c.Returned:
+		event = crevent.ServerReturned
+	case !c.Ejected:
+		return
+	}
+	n.Log.Emit(time.Now(), crevent.State, event, crevent.KeyService, s.name, crevent.KeyServer, server, crevent.KeyCode, r.code,
+		crevent.KeyStatus, r.status, crevent.KeyTook, r.took.Round(time.Millisecond), crevent.KeyShare, c.Errors, crevent.KeyCount, c.Failures)
+}
+
 // worse returns the end to report after several sends: a later refusal must not hide that an earlier send may have run.
 func worse(earlier, last *reply) *reply {
 	if earlier != nil && last.code != crcode.OK && last.code.Outcome() == crcode.NotRun && earlier.code.Outcome() != crcode.NotRun {
--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -139,19 +139,29 @@
 	return Server{}, crcode.New(crcode.NoServer, "%d servers known, %d tried", len(r.servers), len(req.Tried))
 }
 
+// Change tells what the end of a call changed for its server, and the record that decided it: the part of answers that
+// failed and the number of bad ends in a row.
+type Change struct {
+	Ejected, Returned bool
+	Errors            float64
+	Failures          int
+}
+
 // Done counts the end of a call that Pick started; a server that was removed meanwhile is ignored.
-func (r *Router) Done(now time.Time, id string, res Result) {
+func (r *Router) Done(now time.Time, id string, res Result) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.find(id)
 	if s == nil {
-		return
+		return Change{}
 	}
+	was := s.ejected
 	s.inFlight = max(s.inFlight-1, 0)
 	if res.Feedback != nil {
 		s.feedback, s.feedbackAt = *res.Feedback, now
 	}
 	r.judge(now, s, res)
+	return Change{Ejected: s.ejected && !was, Returned: was && !s.ejected, Errors: s.errors, Failures: s.failures}
 }
 
 // Level returns the median level of the servers in use, the lower one of two, for the answers of this node. The lowest
--- a/pkg/crrouter/crrouter_test.go
+++ b/pkg/crrouter/crrouter_test.go
@@ -190,7 +190,9 @@
 		}
 		for i := range row {
 			c.Assert(ejected(), qt.IsFalse, qt.Commentf("kind %d: after %d", kind, i))
-			r.Done(now, "s1", crrouter.Result{Kind: kind})
+			change := r.Done(now, "s1", crrouter.Result{Kind: kind})
+			c.Assert(change.Ejected, qt.Equals, i == row-1)
+			c.Assert(change.Failures, qt.Equals, i+1)
 		}
 		c.Assert(ejected(), qt.IsTrue)
 		now = now.Add(600 * time.Millisecond)
@@ -202,7 +204,8 @@
 		c.Assert(ejected(), qt.IsTrue)
 		for i := range 3 {
 			c.Assert(ejected(), qt.IsTrue, qt.Commentf("after %d good probes", i))
-			r.Done(now, "s1", crrouter.Result{})
+			change := r.Done(now, "s1", crrouter.Result{})
+			c.Assert(change.Returned, qt.Equals, i == 2)
 			pick()
 		}
 		c.Assert(ejected(), qt.IsFalse)
