crforward: keep the gate open while a planned stop waits for clients

Cause: a node that is stopped closed its gate at once, and waited 0.45 of the grace time for clients to leave. The server beside it stood idle for that time, and until the restarted node had its next heartbeat.

Change: the gate closes 0.4 s before the notice ends, when the directory is told too; readiness falls at once as before. A test that failed before sends requests to the server of a stopping node.

--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -94,7 +94,8 @@
 	// callFailed is when a call of the backend server failed last, in Unix nanoseconds.
 	callFailed atomic.Int64
 	started    atomic.Bool
-	stopping   atomic.Bool
+	// stopping tells clients to leave, closed lets no further work through the gate.
+	stopping, closed atomic.Bool
 	// inFlight counts the requests at the entrance.
 	inFlight atomic.Int64
 
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -253,11 +253,11 @@
 	e := &crwire.DirectoryEntry{
 		Node: n.Settings.Name, Incarnation: n.endpoint.Identity.Self.Incarnation, Service: n.Settings.Service,
 		Address: n.Settings.Address, Entrance: n.Settings.Address, Domain: n.Settings.Domain, Region: n.Settings.Region,
-		State: crdirectory.Starting, Stopping: n.stopping.Load(),
+		State: crdirectory.Starting, Stopping: n.closed.Load(),
 	}
 	if s, ok := n.gate.registered(); ok {
 		e.Instance, e.Slots, e.Connections, e.State = s.instance(), uint32(s.Slots), uint32(s.Slots), crdirectory.Serving
-		if s.Draining || n.stopping.Load() {
+		if s.Draining || n.closed.Load() {
 			e.State = crdirectory.Leaving
 		}
 	}
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -236,7 +236,7 @@
 // closed tells why no call may run now; OK means that calls may. The lock is held.
 func (g *gate) closed(now time.Time, c *call) crcode.Code {
 	switch {
-	case g.node.stopping.Load():
+	case g.node.closed.Load():
 		return crcode.Stopping
 	case g.reg == nil || g.missed || now.Before(g.downUntil):
 		return crcode.NoServer
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -459,6 +459,29 @@
 	qt.Assert(t, <-status, qt.Equals, "done<nil>")
 }
 
+// TestPlannedStopServes guards against a server that stands idle while its node waits for clients to leave, and against
+// work that its gate takes until the end.
+func TestPlannedStopServes(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	from, to := c.add("ledger"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Repeatable))
+	from.until(t, "/p/warm", http.StatusOK)
+	to.cancel()
+	stopping := time.Now()
+	// With a grace time of 3 s clients are given 1.35 s, and the gate closes 0.4 s earlier.
+	for i := 0; time.Since(stopping) < 700*time.Millisecond; i++ {
+		resp, _, err := from.send(context.Background(), "GET", "/p/x", fmt.Sprintf("during-%d", i), nil)
+		qt.Assert(t, err, qt.IsNil)
+		if time.Since(stopping) < 800*time.Millisecond {
+			qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s after the stop began", time.Since(stopping)))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	from.until(t, "/p/x", http.StatusServiceUnavailable)
+	qt.Assert(t, time.Since(stopping) < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(stopping)))
+}
+
 // TestNewVersion guards against a node that goes on with an older configuration, or back to it.
 func TestNewVersion(t *testing.T) {
 	c := newCluster(t)
