cradmission, crforward: order a gate's queue by when its work is due

Cause: a gate's queue put all calls of running work before all requests of clients, and among equals ordered by a hash of the id. That hash keeps a chain together where all its calls share the root's id; on the platform each call has an id of its own, so that it was a lottery at each step. A fifth of the direct requests of the deep service, which take a twentieth of its time and have a short target, came late.

Change: Ranks puts calls beside the most important requests of clients at the gate and the others behind them by worth; within a rank the queue runs what is due first by the target of its route. The replay uses the same code; its loads name targets for calls too.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -29,7 +28,10 @@
 	kept   bool
 	// deadline is when the client or the route gives up.
 	deadline time.Time
-	rank     cradmission.Priority
+	// due is when the answer is late by the target of its route.
+	due time.Time
+	// worth ranks the route, a higher one is more important.
+	worth uint32
 	// caller is the service of the instance where the request began.
 	caller string
 	// idle tells that the server of that instance ran nothing, so that a client sent the request.
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
-	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crroute"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -73,7 +72,11 @@
 	if c.origin == originUnknown && c.idle {
 		c.origin = originClients
 	}
-	c.rank = cradmission.NewPriority(cradmission.Ordinary, uint32(topWorth-min(max(route.Priority, 0), topWorth-1)), c.id)
+	c.worth = uint32(topWorth - min(max(route.Priority, 0), topWorth-1))
+	c.due = c.deadline
+	if target := now.Add(route.Target); route.Target > 0 && target.Before(c.due) {
+		c.due = target
+	}
 	return c
 }
 
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -41,6 +41,7 @@
 	reg     *registration
 	limiter *crlimiter.Limiter
 	queue   *cradmission.Queue
+	ranks   cradmission.Ranks
 	client  *crexchange.Client
 	// downUntil ends the time in which the server is not tried.
 	downUntil time.Time
@@ -190,14 +191,15 @@
 		g.mu.Unlock()
 		return l, crcode.OK
 	}
-	left := c.deadline.Sub(now)
-	if expected := g.limiter.Expected(c.route, g.queue.Ahead(c.rank)); expected > left {
+	left, takes := c.deadline.Sub(now), g.limiter.RunTime(c.route)
+	rank, due := g.ranks.Rank(now, senders[c.origin], c.worth), c.due.Add(-takes)
+	if expected := g.limiter.Expected(c.route, g.queue.Ahead(rank, due)); expected > left {
 		g.regulator.Refused(g.limiter.RunTime(c.route))
 		g.mu.Unlock()
 		return l, crcode.Overloaded
 	}
 	w := &waiter{granted: make(chan crcode.Code, 1)}
-	it := &cradmission.Item{Priority: c.rank, Deadline: c.deadline.Add(-g.limiter.RunTime(c.route)), Value: w}
+	it := &cradmission.Item{Priority: rank, Due: due, Deadline: c.deadline.Add(-takes), Value: w}
 	if refused := g.queue.Push(now, it); refused != nil {
 		g.regulator.Refused(g.limiter.RunTime(c.route))
 		refused.Value.(*waiter).granted <- crcode.Overloaded
@@ -302,16 +304,12 @@
 // do runs the call on the server; ctx ends when the caller has left.
 func (g *gate) do(ctx context.Context, c *call) *reply {
 	start := time.Now()
-	from := g.origins.count(start, c.route, c.caller, c.idle, g.node.services.withServers())
-	if from == originServers {
-		// The work above is lost with its call.
-		c.rank = cradmission.NewPriority(cradmission.Protected, c.rank.Worth(), c.id)
-	}
+	c.origin = g.origins.count(start, c.route, c.caller, c.idle, g.node.services.withServers())
 	l, code := g.admit(ctx, c)
 	waited := time.Since(start)
 	if code != crcode.OK {
 		r := refuse(code, "")
-		r.origin = from
+		r.origin = c.origin
 		r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
 		r.retryIn = g.roomIn()
 		return r
@@ -321,7 +319,7 @@
 	r := g.exchange(ctx, c, l, waited)
 	r.excused = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.Ended(c.route, r.took, r.code == crcode.OK && r.status < 500)
-	r.origin = from
+	r.origin = c.origin
 	r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
 	return r
 }
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -19,9 +18,10 @@
 	callService = iota
 	callRoute
 	callLeft
-	callRank
+	callWorth
 	callCaller
 	callFlags
+	callDue
 	callFields
 )
 
@@ -43,7 +43,8 @@
 	}
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
-		strconv.FormatUint(uint64(c.rank), 36), url.QueryEscape(c.caller), flags,
+		strconv.FormatUint(uint64(c.worth), 36), url.QueryEscape(c.caller), flags,
+		formatMilliseconds(c.due.Sub(now)),
 	}, ";")
 }
 
@@ -53,8 +54,9 @@
 		return crcode.New(crcode.MalformedMessage, "a call from another node has %d fields", len(f))
 	}
 	left, ok := milliseconds(f[callLeft])
-	rank, err := strconv.ParseUint(f[callRank], 36, 64)
-	if !ok || err != nil || f[callService] == "" {
+	due, okDue := milliseconds(f[callDue])
+	worth, err := strconv.ParseUint(f[callWorth], 36, 32)
+	if !ok || !okDue || err != nil || f[callService] == "" {
 		return crcode.New(crcode.MalformedMessage, "a call from another node has malformed fields")
 	}
 	for i, to := range map[int]*string{callService: &c.service, callRoute: &c.route, callCaller: &c.caller} {
@@ -62,7 +64,7 @@
 			return crcode.New(crcode.MalformedMessage, "a call from another node: %v", err)
 		}
 	}
-	c.deadline, c.rank = now.Add(left), cradmission.Priority(rank)
+	c.deadline, c.due, c.worth = now.Add(left), now.Add(due), uint32(worth)
 	c.once = strings.Contains(f[callFlags], flagOnce)
 	c.idle = strings.Contains(f[callFlags], flagIdle)
 	return nil
--- a/internal/crforward/origins.go
+++ b/internal/crforward/origins.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/citronramp/citronramp/pkg/cradmission"
 )
 
 // origin tells who sends the requests of a route.
@@ -16,6 +18,9 @@
 	originServers
 )
 
+// senders are the origins in the words of a gate's queue.
+var senders = map[origin]cradmission.Sender{originClients: cradmission.Client, originServers: cradmission.Server}
+
 // Figures of the classification.
 const (
 	// expectedSamples is how many requests a service's instances would have sent by their number for the service to be held
--- a/internal/crnode/gate.go
+++ b/internal/crnode/gate.go
@@ -98,7 +98,7 @@
 	if !g.level.Arrive(now, e.priority) && !e.invested {
 		return nil, g.overloaded(e.priority, "below the level of this server")
 	}
-	if need := g.limiter.Expected(e.kind, g.queue.Ahead(e.priority)); now.Add(need).After(e.deadline) {
+	if need := g.limiter.Expected(e.kind, g.queue.Ahead(e.priority, time.Time{})); now.Add(need).After(e.deadline) {
 		// The wait was refused, not spent; the level must see it all the same.
 		g.level.Waited(now, g.maxWait)
 		return nil, crcode.New(crcode.DeadlineExpired, "%s left, %s expected", e.deadline.Sub(now).Round(time.Millisecond), need.Round(time.Millisecond))
@@ -137,7 +137,7 @@
 func (g *adaptiveGate) admit(now time.Time) {
 	for {
 		free := g.limiter.Limit() - g.limiter.InFlight()
-		if free <= 0 || free <= g.reserve(now) && g.queue.Ahead(lowestProtected) == 0 {
+		if free <= 0 || free <= g.reserve(now) && g.queue.Ahead(lowestProtected, time.Time{}) == 0 {
 			return
 		}
 		it, ok := g.queue.Pop(now)
--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -65,6 +65,7 @@
 	node      *node
 	running   int
 	queue     cradmission.Queue
+	ranks     cradmission.Ranks
 	regulator crshed.Regulator
 	counted   time.Duration
 }
@@ -74,8 +75,25 @@
 	kind     *Kind
 	node     *node
 	deadline time.Duration
-	deeper   bool
-	done     func(good, refused bool)
+	// due is when the answer is late by the target of its kind.
+	due    time.Duration
+	deeper bool
+	done   func(good, refused bool)
+}
+
+// target is the time within which an answer has its full worth; a kind that names none has its time limit.
+func (k *Kind) target() time.Duration {
+	if k.Target > 0 {
+		return time.Duration(min(k.Target, k.Timeout))
+	}
+	return time.Duration(k.Timeout)
+}
+
+func (w *work) sender() cradmission.Sender {
+	if w.deeper {
+		return cradmission.Server
+	}
+	return cradmission.Client
 }
 
 var epoch = time.Unix(1_000_000, 0)
@@ -215,7 +233,7 @@
 			return
 		}
 	}
-	m.send(&work{kind: k, node: at, deadline: m.now + time.Duration(k.Timeout), done: done}, nil)
+	m.send(&work{kind: k, node: at, deadline: m.now + time.Duration(k.Timeout), due: m.now + k.target(), done: done}, nil)
 }
 
 func (m *model) tick() {
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/cradmission"
@@ -116,17 +115,14 @@
 		return
 	}
 	need := m.expected(s, w.kind)
-	ahead := time.Duration(float64(need) * float64(s.queue.Len()+1) / float64(s.service.Slots))
+	rank, due := s.ranks.Rank(m.clock(), w.sender(), uint32(1000-w.kind.Priority)), epoch.Add(w.due-need)
+	ahead := time.Duration(float64(need) * float64(s.queue.Ahead(rank, due)+1) / float64(s.service.Slots))
 	if m.now+ahead+need > w.deadline {
 		s.regulator.Refused(need)
 		answer(false, true)
 		return
 	}
-	class := cradmission.Ordinary
-	if w.deeper {
-		class = cradmission.Protected
-	}
-	it := &cradmission.Item{Priority: cradmission.NewPriority(class, uint32(1000-w.kind.Priority), strconv.Itoa(m.order)), Deadline: epoch.Add(w.deadline - need)}
+	it := &cradmission.Item{Priority: rank, Due: due, Deadline: epoch.Add(w.deadline - need)}
 	it.Value = func(granted bool) {
 		if granted {
 			run()
@@ -207,7 +203,7 @@
 		waiting := len(calls[i])
 		for _, k := range calls[i] {
 			deadline := min(w.deadline, m.now+time.Duration(k.Timeout))
-			m.send(&work{kind: k, node: s.node, deadline: deadline, deeper: true, done: func(good, _ bool) {
+			m.send(&work{kind: k, node: s.node, deadline: deadline, due: min(deadline, m.now+k.target()), deeper: true, done: func(good, _ bool) {
 				if !good {
 					end(false)
 					return
--- a/pkg/cradmission/queue.go
+++ b/pkg/cradmission/queue.go
@@ -1,6 +1,7 @@
 package cradmission
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +13,9 @@
 	Priority Priority
 	// Deadline is when the item is useless; the zero time means that only MaxWait bounds it.
 	Deadline time.Time
-	Value    any
+	// Due orders items of the same priority, the earliest first; items without it keep the order of their arrival.
+	Due   time.Time
+	Value any
 
 	queued time.Time
 	seq    uint64
@@ -107,16 +110,11 @@
 	return len(q.items)
 }
 
-// Ahead returns how many waiting items would run before a new one of priority p.
-func (q *Queue) Ahead(p Priority) int {
+// Ahead returns how many waiting items would run before a new one of priority p that is due at the time.
+func (q *Queue) Ahead(p Priority, due time.Time) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	at, _ := slices.BinarySearchFunc(q.items, p, func(i *Item, p Priority) int {
-		if i.Priority < p {
-			return -1
-		}
-		return 1
-	})
+	at, _ := slices.BinarySearchFunc(q.items, &Item{Priority: p, Due: due, seq: math.MaxUint64}, compare)
 	return len(q.items) - at
 }
 
@@ -162,6 +160,8 @@
 		return -1
 	case a.Priority > b.Priority:
 		return 1
+	case !a.Due.Equal(b.Due):
+		return b.Due.Compare(a.Due)
 	case a.seq > b.seq:
 		return -1
 	case a.seq < b.seq:
