--- a/pkg/cradmission/ranks_test.go
+++ b/pkg/cradmission/ranks_test.go
@@ -28,16 +28,17 @@
 func TestQueueDue(t *testing.T) {
 	now := time.Unix(100, 0)
 	q := cradmission.Queue{Length: 3}
+	p := cradmission.NewPriority(cradmission.Protected, 7, "")
 	at := func(ms int) *cradmission.Item {
-		return &cradmission.Item{Priority: 7, Due: now.Add(time.Duration(ms) * time.Millisecond), Deadline: now.Add(time.Second)}
+		return &cradmission.Item{Priority: p, Due: now.Add(time.Duration(ms) * time.Millisecond), Deadline: now.Add(time.Second)}
 	}
 	late, soon, next := at(300), at(100), at(200)
 	for _, it := range []*cradmission.Item{late, soon, next} {
 		qt.Assert(t, q.Push(now, it), qt.IsNil)
 	}
-	qt.Assert(t, q.Ahead(7, now.Add(250*time.Millisecond)), qt.Equals, 2)
-	qt.Assert(t, q.Ahead(7, now.Add(200*time.Millisecond)), qt.Equals, 2)
-	qt.Assert(t, q.Ahead(8, now.Add(time.Second)), qt.Equals, 0)
+	qt.Assert(t, q.Ahead(p, now.Add(250*time.Millisecond)), qt.Equals, 2)
+	qt.Assert(t, q.Ahead(p, now.Add(200*time.Millisecond)), qt.Equals, 2)
+	qt.Assert(t, q.Ahead(p+1, now.Add(time.Second)), qt.Equals, 0)
 	// A full queue gives up the one that is due last.
 	qt.Assert(t, q.Push(now, at(150)), qt.Equals, late)
 	for _, want := range []*cradmission.Item{soon, nil, next} {
