crshed: weigh what gates tell of their load by that load

Ruled out: regulators that are slow (0.97 within 0.8 s at the flooded gates), entrances that do not know the costs (they turned 1,200 requests a second away).

Change: a board's mean weighs each gate by the runs on its server and before it. The sum is kept in whole numbers, since the order of a map must not change a decision.

--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -60,7 +60,7 @@
 // learn takes what an answer tells of the load below.
 func (n *Node) learn(now time.Time, node string, c *call, r *reply) {
 	if r.load != nil {
-		n.board.Heard(now, c.service, node, r.intensity)
+		n.board.Heard(now, c.service, node, r.intensity, r.load.InFlight+r.load.Queued)
 	}
 	for _, e := range r.board {
 		n.board.Passed(now, e.Service, e.Intensity, e.Age)
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -79,7 +79,7 @@
 
 // reach stores what was told at the node that gets the answer.
 func (t *told) reach(now time.Time, n *node) {
-	n.board.Heard(now, t.service, t.server, t.intensity)
+	n.board.Heard(now, t.service, t.server, t.intensity, t.load.InFlight+t.load.Queued)
 	for _, e := range t.entries {
 		if e.Service != t.service {
 			n.board.Passed(now, e.Service, e.Intensity, e.Age)
--- a/pkg/crshed/crshed.go
+++ b/pkg/crshed/crshed.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -128,13 +129,15 @@
 	return r.demand
 }
 
-// Times of a board.
+// Figures of a board.
 const (
 	// holds is how long an intensity counts in full without news, and fades how long it then takes to reach zero.
 	holds = 1500 * time.Millisecond
 	fades = 2 * time.Second
 	// maxServices bounds the services of a board.
 	maxServices = 1024
+	// steps is the number of steps of one that an intensity has.
+	steps = 1e6
 )
 
 // Board holds what a node knows of the intensities of services.
@@ -153,6 +156,8 @@
 type stamped struct {
 	intensity float64
 	at        time.Time
+	// load is the number of runs on the server and before it, for what gates told themselves.
+	load int
 }
 
 func (s stamped) value(now time.Time) float64 {
@@ -177,12 +182,12 @@
 	return p
 }
 
-// Heard stores what a gate told of its own server.
-func (b *Board) Heard(now time.Time, service, gate string, intensity float64) {
+// Heard stores what a gate told of its own server; load is the number of runs on it and before it.
+func (b *Board) Heard(now time.Time, service, gate string, intensity float64, load int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.get(service)
-	p.gates[gate] = stamped{intensity, now}
+	p.gates[gate] = stamped{intensity, now, load}
 	for g, s := range p.gates {
 		if now.Sub(s.at) > holds+fades {
 			delete(p.gates, g)
@@ -196,11 +201,12 @@
 	defer b.mu.Unlock()
 	p := b.get(service)
 	if at := now.Add(-age); at.After(p.passed.at) {
-		p.passed = stamped{intensity, at}
+		p.passed = stamped{intensity: intensity, at: at}
 	}
 }
 
-// Intensity returns the mean over the gates that this node hears itself, otherwise what was passed on.
+// Intensity returns the mean over the gates that this node hears itself, each by its load, otherwise what was passed on.
+// A gate whose server gets no work, since it fails or was ejected, says little of what work will meet.
 func (b *Board) Intensity(now time.Time, service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -213,18 +219,19 @@
 }
 
 func (p *posted) value(now time.Time) (intensity float64, at time.Time) {
-	sum, n := 0.0, 0
+	// Whole numbers add up to the same in any order of the map.
+	sum, n := int64(0), int64(0)
 	for _, s := range p.gates {
 		if now.Sub(s.at) <= holds {
-			sum += s.intensity
-			n++
+			sum += int64(s.load+1) * int64(math.Round(s.intensity*steps))
+			n += int64(s.load + 1)
 			if s.at.After(at) {
 				at = s.at
 			}
 		}
 	}
 	if n > 0 {
-		return sum / float64(n), at
+		return float64(sum) / steps / float64(n), at
 	}
 	return p.passed.value(now), p.passed.at
 }
--- a/pkg/crshed/crshed_test.go
+++ b/pkg/crshed/crshed_test.go
@@ -45,6 +45,22 @@
 	qt.Assert(t, r.Intensity() < 0.02, qt.IsTrue, qt.Commentf("intensity %v 20 s after the end", r.Intensity()))
 }
 
+// TestBoardWeighs guards against servers that get no work, because they fail or were ejected, whose gates therefore see no
+// load and speak for room that is not there: the others are flooded while hardly anything is turned away.
+func TestBoardWeighs(t *testing.T) {
+	var b crshed.Board
+	for gate, g := range map[string]struct {
+		intensity float64
+		load      int
+	}{"flooded-1": {0.97, 488}, "flooded-2": {0.97, 480}, "failing": {0.2, 60}, "ejected": {0, 2}} {
+		b.Heard(start, "deep", gate, g.intensity, g.load)
+	}
+	qt.Assert(t, b.Intensity(start, "deep") > 0.9, qt.IsTrue, qt.Commentf("%.2f", b.Intensity(start, "deep")))
+	// An idle service is one that turns nothing away.
+	b.Heard(start, "idle", "a", 0, 0)
+	qt.Assert(t, b.Intensity(start, "idle"), qt.Equals, 0.0)
+}
+
 // TestRefused guards against a gate that refuses a lot and therefore looks as if it had room.
 func TestRefused(t *testing.T) {
 	r := &crshed.Regulator{}
@@ -83,8 +99,8 @@
 	b.Passed(start, "deep", 0.8, 100*time.Millisecond)
 	b.Passed(start, "deep", 0.2, 300*time.Millisecond)
 	qt.Assert(t, b.Intensity(start, "deep"), qt.Equals, 0.8)
-	b.Heard(start, "deep", "g1", 0.5)
-	b.Heard(start, "deep", "g2", 0.3)
+	b.Heard(start, "deep", "g1", 0.5, 10)
+	b.Heard(start, "deep", "g2", 0.3, 10)
 	qt.Assert(t, b.Intensity(start, "deep"), qt.Equals, 0.4)
 	e := b.Entries(start.Add(time.Second), 4)
 	qt.Assert(t, e, qt.DeepEquals, []crshed.Entry{{Service: "deep", Intensity: 0.4, Age: time.Second}})
