crsoak, crforward: tell a cut request from a connection that closed unread

Ruled out: a request that the node had read. These connections wait to be accepted when the listener closes. The platform counts a request as lost when a process had read it and it was passed on or more than loss-slack (200 ms) had passed.

Change: the soak reports a connection that ends without an answer when the request ran or when more than 200 ms had passed, now for requests of every kind, and counts the others as unread.

--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -484,6 +486,62 @@
 	}
 }
 
+// unreadSlack is how late a client may learn that its connection was closed unread: 200 ms by the platform, and as much again
+// and more for a machine that other tests load.
+const unreadSlack = time.Second
+
+// TestPlannedStopNewConnections guards against a planned stop that cuts a request which the node has read: a connection that
+// comes as the listener closes may end unread, at once, and no server has run its request.
+func TestPlannedStopNewConnections(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	from, to := c.add("ledger"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Repeatable))
+	from.until(t, "/p/warm", http.StatusOK)
+	var ran sync.Map
+	to.backend.set(func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get(names.RequestID), true)
+		_, _ = io.WriteString(w, "done")
+	})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var sent, refused, unread atomic.Int64
+	var callers sync.WaitGroup
+	for i := range 24 {
+		callers.Go(func() {
+			for j := 0; refused.Load() == 0; j++ {
+				id := fmt.Sprintf("%d-%d", i, j)
+				req, err := http.NewRequest(http.MethodGet, "http://"+from.entrance+"/p/x", nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				req.Host = "app.example"
+				req.Header.Set(names.RequestID, id)
+				began := time.Now()
+				resp, err := client.Do(req)
+				took := time.Since(began)
+				sent.Add(1)
+				switch _, didRun := ran.Load(id); {
+				case err == nil:
+					_, err = io.ReadAll(resp.Body)
+					qt.Check(t, err, qt.IsNil)
+					_ = resp.Body.Close()
+				case errors.Is(err, syscall.ECONNREFUSED):
+					refused.Add(1)
+				case didRun || took > unreadSlack:
+					t.Errorf("request %s was cut after %s, run: %t: %v", id, took, didRun, err)
+				default:
+					unread.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	from.cancel()
+	callers.Wait()
+	t.Logf("%d requests, %d unread", sent.Load(), unread.Load())
+}
+
 // TestNewVersion guards against a node that goes on with an older configuration, or back to it.
 func TestNewVersion(t *testing.T) {
 	c := newCluster(t)
--- a/internal/crsoak/client.go
+++ b/internal/crsoak/client.go
@@ -139,9 +139,8 @@
 	}
 	stopping := c.soak.nodes[c.machine].stopping()
 	disturbed := p.disturbed(c.machine, began)
-	// A client cannot tell whether a POST on a connection that it kept was read; a GET was sent again if it was not.
-	if got.broken != nil && r.method == http.MethodGet && !disturbed && !entrance.refused(began) {
-		p.broke("nothing is lost", r.id, fmt.Sprintf("the connection ended (stopping %t): %v", stopping, got.broken))
+	if got.broken != nil && !disturbed && !entrance.refused(began) {
+		p.lost(now, r.id, now.Sub(began), fmt.Sprintf("the connection ended (stopping %t): %v", stopping, got.broken))
 	}
 	if took := now.Sub(began); took > requestTimeout+lateSlack && !disturbed && !stopping {
 		p.broke("time limit", r.id, took.String())
--- a/internal/crsoak/promises.go
+++ b/internal/crsoak/promises.go
@@ -44,6 +44,10 @@
 // lateSlack is how much later than its time budget an answer may come on a machine that other programs load as well.
 const lateSlack = time.Second
 
+// lossSlack is how soon after its last byte a request may lose its connection unread, the platform's: one that waits to be
+// accepted when the listener closes never reaches the process.
+const lossSlack = 200 * time.Millisecond
+
 func newPromises(start time.Time) *promises {
 	return &promises{start: start, runs: map[string]int{}, notRun: map[string]bool{}, windows: map[string]*window{}}
 }
@@ -139,6 +143,17 @@
 	}
 }
 
+// lost is called when a connection ended without an answer on a sidecar that no unplanned fault touched.
+func (p *promises) lost(now time.Time, id string, after time.Duration, detail string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if after <= lossSlack && p.runs[id] == 0 {
+		p.found.Unread++
+		return
+	}
+	p.breaks(now, "nothing is lost", id, fmt.Sprintf("%s after %s, %d runs", detail, after, p.runs[id]))
+}
+
 // disturb marks a sidecar as touched by a fault until calm is called.
 func (p *promises) disturb(machine int) {
 	p.mu.Lock()
