--- a/internal/cradmin/cradmin.go
+++ b/internal/cradmin/cradmin.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -66,6 +67,28 @@
 	return nil
 }
 
+// Listen opens the listeners of a process before any part of it runs.
+func Listen(addresses ...string) ([]net.Listener, error) {
+	var out []net.Listener
+	for _, a := range addresses {
+		ln, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range out {
+				_ = open.Close()
+			}
+			return nil, fmt.Errorf("cannot listen on %s; another process may use it: %w", a, err)
+		}
+		out = append(out, ln)
+	}
+	return out, nil
+}
+
+// Unexpected reports whether the error with which a duty ended is news: a listener or server that was closed, or a duty
+// that was cancelled, has ended as it should.
+func Unexpected(err error) bool {
+	return err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, context.Canceled)
+}
+
 // Await runs the waits one after the other and reports whether they ended within the limit; a stop must not hang on a
 // peer that is silent.
 func Await(limit time.Duration, waits ...func()) bool {
--- a/internal/cradmin/cradmin_test.go
+++ b/internal/cradmin/cradmin_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -133,3 +134,27 @@
 	c.Assert(info[0], qt.Matches, `level=info ts=\S+Z msg="two words"`)
 	c.Assert(lines("debug"), qt.HasLen, 2)
 }
+
+// TestUnexpected guards against a duty that fails in silence, and against a line for each duty of a planned stop.
+func TestUnexpected(t *testing.T) {
+	c := qt.New(t)
+	for _, err := range []error{nil, context.Canceled, http.ErrServerClosed, fmt.Errorf("accept: %w", net.ErrClosed)} {
+		c.Check(cradmin.Unexpected(err), qt.IsFalse, qt.Commentf("%v", err))
+	}
+	c.Check(cradmin.Unexpected(context.DeadlineExceeded), qt.IsTrue)
+}
+
+// TestListen guards against listeners that stay open when another of the process cannot be opened.
+func TestListen(t *testing.T) {
+	c := qt.New(t)
+	lns, err := cradmin.Listen("127.0.0.1:0", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	free, taken := lns[0].Addr().String(), lns[1].Addr().String()
+	c.Assert(lns[0].Close(), qt.IsNil)
+	_, err = cradmin.Listen(free, taken)
+	c.Assert(err, qt.ErrorMatches, "cannot listen on "+taken+".*")
+	again, err := net.Listen("tcp", free)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Close(), qt.IsNil)
+	c.Assert(lns[1].Close(), qt.IsNil)
+}
--- a/internal/crcli/run.go
+++ b/internal/crcli/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
@@ -28,7 +27,7 @@
 			if set.Node == nil {
 				return failure.New("the settings file has no [node] table")
 			}
-			ln, err := listenAll(set.Node.Listen, set.Node.Inner, set.Node.Admin)
+			ln, err := cradmin.Listen(set.Node.Listen, set.Node.Inner, set.Node.Admin)
 			if err != nil {
 				return err
 			}
@@ -54,7 +53,7 @@
 			if set.Control == nil {
 				return failure.New("the settings file has no [control] table")
 			}
-			ln, err := listenAll(set.Control.Inner, set.Control.Operator, set.Control.Admin)
+			ln, err := cradmin.Listen(set.Control.Inner, set.Control.Operator, set.Control.Admin)
 			if err != nil {
 				return err
 			}
@@ -77,22 +76,6 @@
 	return set, cradmin.NewLogger(s.err, set.LogLevel), nil
 }
 
-// listenAll opens the listeners of a process before any part of it runs.
-func listenAll(addrs ...string) ([]net.Listener, error) {
-	var out []net.Listener
-	for _, a := range addrs {
-		ln, err := net.Listen("tcp", a)
-		if err != nil {
-			for _, open := range out {
-				_ = open.Close()
-			}
-			return nil, failure.New("cannot listen on %s; another process may use it: %w", a, err)
-		}
-		out = append(out, ln)
-	}
-	return out, nil
-}
-
 // stopped turns the end of a process into its exit code.
 func stopped(s streams, err error) error {
 	if err == nil {
--- a/internal/crcontrol/crcontrol.go
+++ b/internal/crcontrol/crcontrol.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -145,7 +143,7 @@
 }
 
 func (c *Control) ended(duty string, err error) {
-	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+	if !cradmin.Unexpected(err) {
 		return
 	}
 	c.Counters.Add("duties_failed", 1)
--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -144,7 +143,7 @@
 }
 
 func (c *Coordinator) ended(duty string, err error) {
-	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+	if !cradmin.Unexpected(err) {
 		return
 	}
 	c.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyDetail, duty, crevent.KeyError, err)
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -176,7 +175,7 @@
 }
 
 func (n *Node) ended(duty string, err error) {
-	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+	if !cradmin.Unexpected(err) {
 		return
 	}
 	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyDetail, duty, crevent.KeyError, err)
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -81,7 +80,7 @@
 
 // failed logs a duty that ended by itself.
 func (p *parts) failed(duty string, err error) {
-	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
+	if !cradmin.Unexpected(err) {
 		return
 	}
 	p.node.Counters.Add("duties_failed", 1)
--- a/internal/crsoak/backend.go
+++ b/internal/crsoak/backend.go
@@ -1,7 +1,6 @@
 package crsoak
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -114,7 +113,7 @@
 	target, body, encodeErr := platform.EncodeLeave(l.report)
 	l.mu.Unlock()
 	if err == nil && encodeErr == nil {
-		_, _ = post(ctx, "http://"+b.control+target, body) // a server that gets no answer leaves all the same
+		_, _, _ = exchange(ctx, http.MethodPost, b.control, target, body) // a server that gets no answer leaves all the same
 	}
 	b.crash()
 	return err
@@ -144,7 +143,7 @@
 		l.backend.promises.broke("soak", "", err.Error())
 		return
 	}
-	status, err := post(ctx, "http://"+l.backend.control+target, body)
+	status, _, err := exchange(ctx, http.MethodPost, l.backend.control, target, body)
 	if err != nil || status != http.StatusOK || !report.Draining {
 		return
 	}
@@ -155,22 +154,6 @@
 	}
 }
 
-// post sends a call of the platform.
-func post(ctx context.Context, target string, body []byte) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	_, _ = io.Copy(io.Discard, resp.Body) // only the status counts
-	return resp.StatusCode, resp.Body.Close()
-}
-
 func (l *lifetime) serve(w http.ResponseWriter, req *http.Request) {
 	now, names := time.Now(), platform.RequestHeaders()
 	id := req.Header.Get(names.RequestID)
--- a/internal/crsoak/crsoak.go
+++ b/internal/crsoak/crsoak.go
@@ -3,9 +3,11 @@
 package crsoak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -211,3 +213,23 @@
 		return nil
 	}
 }
+
+// exchangeLimit bounds a call of the platform, as it does for servers and operators.
+const exchangeLimit = time.Second
+
+// exchange makes one call of the platform and returns the status and the body of its answer.
+func exchange(ctx context.Context, method, address, target string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, err
+}
--- a/internal/crsoak/deploy.go
+++ b/internal/crsoak/deploy.go
@@ -118,16 +118,9 @@
 // ready waits until a node says that it is ready.
 func (r *run) ready(ctx context.Context, i int) error {
 	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.nodes[i].settings.Listen.Ready+platform.ReadyPath(), nil)
-		if err != nil {
-			return err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+		status, _, err := exchange(ctx, http.MethodGet, r.nodes[i].settings.Listen.Ready, platform.ReadyPath(), nil)
+		if err == nil && status == http.StatusOK {
+			return nil
 		}
 		if err := sleep(ctx, 50*time.Millisecond); err != nil {
 			return err
--- a/internal/crsoak/operator.go
+++ b/internal/crsoak/operator.go
@@ -1,11 +1,9 @@
 package crsoak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -107,23 +105,11 @@
 
 // ask sends a call to a coordinator drawn by lot; the status is zero when there was no answer.
 func (o *operator) ask(ctx context.Context, target string, body []byte) (int, []byte) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	address := o.cores[o.rng.IntN(len(o.cores))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+target, bytes.NewReader(body))
+	status, answer, err := exchange(ctx, http.MethodPost, o.cores[o.rng.IntN(len(o.cores))], target, body)
 	if err != nil {
 		return 0, nil
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, answer
+	return status, answer
 }
 
 // last checks at the end that the newest configuration is there and in force at each node.
@@ -158,20 +144,13 @@
 
 // inForce reads the version in force from the metrics of a node.
 func inForce(ctx context.Context, address string) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.DefaultClient.Do(req)
+	_, body, err := exchange(ctx, http.MethodGet, address, "/debug/vars", nil)
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = resp.Body.Close() }()
 	var vars struct {
 		Version uint64 `json:"config_version"`
 	}
-	err = json.NewDecoder(resp.Body).Decode(&vars)
+	err = json.Unmarshal(body, &vars)
 	return vars.Version, err
 }
