crforward: ask coordinators beside each other when one stays silent

Cause: a node that had lost its ties asked the coordinators one after the other and gave each a second. With several of them without power it could be without documents for longer than the 2 s in which a change must be in force. Besides, after a second without a leader it took the first that answered, also one outside the core, which never hears of a document, and stayed with it for 1.5 s. Ruled out: a shorter limit for each question (a loaded coordinator in another region would be passed over); asking all at once (every node would ask every member just when the core is slow). Change: find asks in turn with a head start of 0.1 s and at most eight at once, and ranks the answers: confirmed, confirmed but held by the other tie, a member without a leader, a stranger.

--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -24,8 +24,6 @@
 	// feedSilence is how long a feed may be silent, or unconfirmed, before another coordinator is asked; three messages
 	// are due in that time.
 	feedSilence = 3 * crcoord.FeedInterval
-	// helloLimit bounds the question who belongs to the core.
-	helloLimit = time.Second
 	// roundPause is the mean wait after all known coordinators failed.
 	roundPause = 300 * time.Millisecond
 	// failedLately is how long a coordinator that was lost is tried after the others.
@@ -71,12 +69,34 @@
 	} else {
 		f.second = ""
 	}
+	f.markFailed(now, address)
+}
+
+// fail notes that an address did not answer.
+func (f *follower) fail(now time.Time, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.markFailed(now, address)
+}
+
+// markFailed puts an address behind the others for a while; the lock is held.
+func (f *follower) markFailed(now time.Time, address string) {
 	if f.failed == nil {
 		f.failed = map[string]time.Time{}
 	}
 	f.failed[address] = now
 }
 
+// held reports whether the other tie has the address.
+func (f *follower) held(address string, t tie) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.directory {
+		return address == f.second
+	}
+	return address == f.first
+}
+
 // seeds replaces the coordinators that the settings name.
 func (f *follower) seeds(addresses []string) {
 	f.mu.Lock()
@@ -141,19 +161,15 @@
 func (n *Node) follow(ctx context.Context, t tie) {
 	lost := time.Now()
 	for ctx.Err() == nil {
-		for _, a := range n.follower.round(time.Now()) {
-			if ctx.Err() != nil {
-				return
-			}
-			if !n.follower.take(a, t) {
-				continue
-			}
-			confirmed := n.attach(ctx, a, t, time.Since(lost) > unconfirmedAfter)
-			n.follower.drop(time.Now(), a, t)
-			if confirmed {
+		takeAny := time.Since(lost) > unconfirmedAfter
+		c, ok := find(ctx, n.follower.round(time.Now()), func(ctx context.Context, address string) (contact, grade) {
+			return n.ask(ctx, address, t, takeAny)
+		})
+		if ok && n.follower.take(c.address, t) {
+			if n.attach(ctx, c, t) {
 				lost = time.Now()
-				break
 			}
+			n.follower.drop(time.Now(), c.address, t)
 		}
 		sleep(ctx, t.pause/2+jitter(t.pause))
 	}
@@ -169,28 +185,12 @@
 }
 
 // attach follows one coordinator until it falls silent; it reports whether a confirmed feed was seen.
-func (n *Node) attach(ctx context.Context, address string, t tie, takeAny bool) bool {
-	hello, cancel := context.WithTimeout(ctx, helloLimit)
-	defer cancel()
-	s, err := n.endpoint.Session(hello, address)
-	if err != nil {
-		n.Counters.Add("coordinator_unreachable", 1)
-		return false
-	}
-	view, err := crwire.Call[crwire.CoreView](hello, s, crcoord.MethodHello, &crwire.CoreHello{Name: n.Settings.Name})
-	if err != nil {
-		n.Counters.Add("coordinator_unreachable", 1)
-		return false
-	}
-	n.follower.learn(view.GetVoters(), view.GetOthers())
-	if !view.GetConfirmed() && !takeAny {
-		return false
-	}
-	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, address, crevent.KeyDetail, t.name,
-		crevent.KeyOutcome, view.GetConfirmed())
-	confirmed, err := n.feed(ctx, s, address, t)
+func (n *Node) attach(ctx context.Context, c contact, t tie) bool {
+	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, c.address, crevent.KeyDetail, t.name,
+		crevent.KeyOutcome, c.view.GetConfirmed())
+	confirmed, err := n.feed(ctx, c.session, c.address, t)
 	if ctx.Err() == nil {
-		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, address, crevent.KeyDetail, t.name, crevent.KeyError, err)
+		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, c.address, crevent.KeyDetail, t.name, crevent.KeyError, err)
 	}
 	return confirmed
 }
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -87,7 +88,9 @@
 	t     *testing.T
 	coord *crcoord.Coordinator
 	seed  string
-	nodes []*node
+	// silent are further seeds, which accept connections and never answer.
+	silent []string
+	nodes  []*node
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -169,7 +172,7 @@
 	n.Node = &crforward.Node{
 		Settings: crforward.Settings{
 			Name: "n" + b.id, Domain: "a", Service: service, ServerAddress: b.Listener.Addr().String(), Address: inbound.Addr().String(),
-			Seeds: []string{c.seed}, Headers: names, RetryRatio: 0.2,
+			Seeds: append(slices.Clone(c.silent), c.seed), Headers: names, RetryRatio: 0.2,
 			Heartbeat: time.Minute, MemoryBytes: 256 << 20, StopTimeout: 3 * time.Second,
 		},
 		Entrance: entrance, Inbound: inbound, Ready: ready, Control: listener(c.t), ControlHandler: http.NotFoundHandler(),
@@ -235,6 +238,21 @@
 	})
 }
 
+// TestSilentCoordinators guards against a node that asks coordinators without power one after the other while a change of
+// the routes, which must be in force within 2 s, has been acknowledged.
+func TestSilentCoordinators(t *testing.T) {
+	c := newCluster(t)
+	c.put(3, 0, route("/p/", "ledger", crroute.Once))
+	for range 6 {
+		ln := listener(t)
+		t.Cleanup(func() { _ = ln.Close() })
+		c.silent = append(c.silent, ln.Addr().String())
+	}
+	from := c.add("ledger")
+	from.until(t, "/p/x", http.StatusOK)
+	qt.Assert(t, time.Since(from.born) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(from.born)))
+}
+
 // TestForwarded guards against requests and answers that change on their way.
 func TestForwarded(t *testing.T) {
 	c := newCluster(t)
