crlog, crcoord, crforward: service after a loss of power everywhere without waiting out a lease

Cause: a restarted member could not know to whom it had granted a lease, so the first election after a loss of power waited for a lease and its jitter, 1 to 1.3 s. Nodes, which keep no document across a restart, then polled for a confirmed coordinator every 0.15 to 0.45 s. Ruled out: a round in which all voters confirm twice that they neither lead nor follow (must hold while members change); a shorter lease (the same wait, and less margin for a slow machine); shorter polling (20,000 nodes ask at once). Change: a member stores the leader that it follows as its vote before it answers it. A lease granted before a restart can then only be that one's, and it leads no longer when it stands for election, so it gets the vote at once; a member that finds itself as its vote stands at once. Nodes tie themselves to a member without a leader, hold its document back and take it when the feed says that the member is confirmed, which it now says within 50 ms.

--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -55,6 +55,7 @@
 	replica   *crreplica.Replica
 	directory *crdirectory.Server
 	peers     peers
+	standing  atomic.Pointer[standing]
 	started   atomic.Bool
 
 	wg sync.WaitGroup
@@ -95,6 +96,7 @@
 		OnRefused: func(net.Addr, error) { c.Counters.Add("inner_refused", 1) },
 	}
 	c.machine = crdocument.New()
+	c.standing.Store(&standing{changed: make(chan struct{})})
 	c.peers.init(c.Settings.Address, c.Settings.Seeds)
 	newID := func() (uint64, error) {
 		if crquorum.Founders(c.Settings.Address, c.Settings.Seeds, c.Settings.FirstStart, true) != nil {
@@ -134,6 +136,7 @@
 	c.wg.Go(func() { c.ended("directory", c.directory.Run(ctx)) })
 	c.wg.Go(func() { c.presenceLoop(ctx) })
 	c.wg.Go(func() { c.repairLoop(ctx) })
+	c.wg.Go(func() { c.standingLoop(ctx) })
 	c.wg.Go(func() { c.ended("api", cradmin.Serve(ctx, c.API, c.Handler)) })
 	if c.Admin != nil {
 		c.wg.Go(func() {
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -30,6 +30,9 @@
 	confirmWithin = time.Second
 	// commandTimeout bounds an operator's change or read; operators try another coordinator after a second.
 	commandTimeout = 900 * time.Millisecond
+	// standingInterval is the time between looks whether the version is still confirmed; nodes that start without a document
+	// wait for that, so it is short beside the time of an election.
+	standingInterval = 50 * time.Millisecond
 	// retryPause is the wait before a command looks for the leader again.
 	retryPause = 20 * time.Millisecond
 )
@@ -152,13 +155,39 @@
 	return s.Leader != 0 && s.LastHeardFromLeader+time.Since(s.At) < confirmWithin
 }
 
-// serveFeed sends each new document to a node, and regularly whether the version is confirmed.
+// standing tells whether this coordinator is confirmed.
+type standing struct {
+	confirmed bool
+	// changed is closed when that is no longer so.
+	changed chan struct{}
+}
+
+// standingLoop tells the feeds when the coordinator becomes confirmed or is no longer.
+func (c *Coordinator) standingLoop(ctx context.Context) {
+	tick := time.NewTicker(standingInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			old := c.standing.Load()
+			if now := c.confirmed(); now != old.confirmed {
+				c.standing.Store(&standing{confirmed: now, changed: make(chan struct{})})
+				close(old.changed)
+			}
+		}
+	}
+}
+
+// serveFeed sends each new document to a node, and regularly and on changes whether the version is confirmed.
 func (c *Coordinator) serveFeed(ctx context.Context, _ *crwire.Session, w *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
 	have := w.GetHave()
 	tick := time.NewTicker(FeedInterval)
 	defer tick.Stop()
 	for {
 		d, changed := c.machine.Current()
+		st := c.standing.Load()
 		feed := &crwire.DocumentFeed{Confirmed: c.confirmed(), Version: d.GetVersion(), Voters: c.memberAddresses()}
 		if d.GetVersion() > have {
 			feed.Document, have = d, d.GetVersion()
@@ -170,6 +199,7 @@
 		case <-ctx.Done():
 			return crcode.New(crcode.Stopping, "the feed has ended")
 		case <-changed:
+		case <-st.changed:
 		case <-tick.C:
 		}
 	}
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -166,7 +166,7 @@
 			return n.ask(ctx, address, t, takeAny)
 		})
 		if ok && n.follower.take(c.address, t) {
-			if n.attach(ctx, c, t) {
+			if n.attach(ctx, c, t, lost) {
 				lost = time.Now()
 			}
 			n.follower.drop(time.Now(), c.address, t)
@@ -184,19 +184,21 @@
 	}
 }
 
-// attach follows one coordinator until it falls silent; it reports whether a confirmed feed was seen.
-func (n *Node) attach(ctx context.Context, c contact, t tie) bool {
+// attach follows one coordinator until it falls silent; lost is when the tie was last confirmed. It reports whether a
+// confirmed feed was seen.
+func (n *Node) attach(ctx context.Context, c contact, t tie, lost time.Time) bool {
 	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, c.address, crevent.KeyDetail, t.name,
 		crevent.KeyOutcome, c.view.GetConfirmed())
-	confirmed, err := n.feed(ctx, c.session, c.address, t)
+	confirmed, err := n.feed(ctx, c, t, lost)
 	if ctx.Err() == nil {
 		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, c.address, crevent.KeyDetail, t.name, crevent.KeyError, err)
 	}
 	return confirmed
 }
 
-// feed takes documents, and the directory for the first tie, from one coordinator.
-func (n *Node) feed(ctx context.Context, s *crwire.Session, address string, t tie) (confirmed bool, err error) {
+// feed takes documents, and the directory for the first tie, from one coordinator. A document that is not confirmed
+// waits until it is, or until the tie has been without confirmation for long.
+func (n *Node) feed(ctx context.Context, c contact, t tie, lost time.Time) (confirmed bool, err error) {
 	tied, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -204,7 +206,7 @@
 	if t.directory {
 		wg.Go(func() {
 			defer cancel()
-			n.directory.Attach(tied, s, address)
+			n.directory.Attach(tied, c.session, c.address)
 		})
 	}
 	silent := time.AfterFunc(feedSilence, cancel)
@@ -213,9 +215,16 @@
 	if t := n.table.Load(); t != nil {
 		have = t.Version()
 	}
-	err = crwire.Receive(tied, s, crcoord.MethodWatch, &crwire.DocumentWatch{Have: have}, func(f *crwire.DocumentFeed) error {
+	var waiting *crwire.DocumentFeed
+	err = crwire.Receive(tied, c.session, crcoord.MethodWatch, &crwire.DocumentWatch{Have: have}, func(f *crwire.DocumentFeed) error {
 		n.follower.learn(f.GetVoters(), nil)
-		n.take(f)
+		if f.GetDocument() != nil {
+			waiting = f
+		}
+		if waiting != nil && (f.GetConfirmed() || time.Since(lost) > unconfirmedAfter) {
+			n.take(waiting, f.GetConfirmed())
+			waiting = nil
+		}
 		if f.GetConfirmed() {
 			confirmed = true
 			silent.Reset(feedSilence)
@@ -226,7 +235,7 @@
 }
 
 // take puts a newer document in force; an older one is never taken.
-func (n *Node) take(f *crwire.DocumentFeed) {
+func (n *Node) take(f *crwire.DocumentFeed, confirmed bool) {
 	d := f.GetDocument()
 	old := n.table.Load()
 	if d == nil || d.GetVersion() == 0 || old != nil && d.GetVersion() <= old.Version() {
@@ -241,11 +250,11 @@
 	}
 	if !n.table.CompareAndSwap(old, t) {
 		// The other tie has put a document in force meanwhile.
-		n.take(f)
+		n.take(f, confirmed)
 		return
 	}
 	n.directory.Watch(t.Services(), nil)
-	n.Log.Emit(now, crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, f.GetConfirmed())
+	n.Log.Emit(now, crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, confirmed)
 }
 
 // announce tells the directory of this node and its backend server.
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -21,6 +21,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/citronramp/citronramp/internal/crcoord"
+	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crforward"
 	"github.com/citronramp/citronramp/internal/crwire"
@@ -253,6 +254,63 @@
 	qt.Assert(t, time.Since(from.born) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(from.born)))
 }
 
+// TestTieBeforeElection guards against a node that looks for a confirmed coordinator again and again while none is: it holds
+// its tie to a member that hears from no leader, takes nothing from it, and takes the document once the member is confirmed.
+func TestTieBeforeElection(t *testing.T) {
+	inner := listener(t)
+	address := inner.Addr().String()
+	var asked atomic.Int32
+	elected := make(chan struct{})
+	e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: "core", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{}}
+	directory := &crdirectory.Server{Name: "core", Endpoint: e}
+	directory.Register(e.Mux)
+	crwire.Handle(e.Mux, crcoord.MethodHello, func(context.Context, *crwire.Session, *crwire.CoreHello) (*crwire.CoreView, error) {
+		asked.Add(1)
+		return &crwire.CoreView{Name: "core", Voters: []string{address}}, nil
+	})
+	crwire.HandleStream(e.Mux, crcoord.MethodWatch, func(ctx context.Context, _ *crwire.Session, _ *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
+		if err := send(&crwire.DocumentFeed{Version: 7, Document: &crwire.Document{Version: 7, Body: []byte("[]")}}); err != nil {
+			return err
+		}
+		select {
+		case <-elected:
+		case <-ctx.Done():
+		}
+		if err := send(&crwire.DocumentFeed{Version: 7, Confirmed: true}); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = e.Serve(inner) })
+	wg.Go(func() { _ = directory.Run(ctx) })
+	c := &cluster{t: t, seed: address}
+	n := c.add("ledger")
+	t.Cleanup(func() {
+		n.cancel()
+		n.stop()
+		_ = inner.Close()
+		e.Close()
+		stop()
+		wg.Wait()
+	})
+	n.until(t, "/p/x", http.StatusServiceUnavailable)
+	time.Sleep(500 * time.Millisecond)
+	resp, _, err := n.send(context.Background(), "GET", "/p/x", "early", nil)
+	qt.Assert(t, err, qt.IsNil)
+	if time.Since(n.born) < time.Second {
+		// After a second a node takes what it gets.
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("an unconfirmed document is not taken"))
+	}
+	qt.Assert(t, asked.Load() <= 2, qt.IsTrue, qt.Commentf("%d questions", asked.Load()))
+	close(elected)
+	confirmed := time.Now()
+	n.until(t, "/p/x", http.StatusNotFound)
+	qt.Assert(t, time.Since(confirmed) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(confirmed)))
+}
+
 // TestForwarded guards against requests and answers that change on their way.
 func TestForwarded(t *testing.T) {
 	c := newCluster(t)
--- a/internal/crforward/search.go
+++ b/internal/crforward/search.go
@@ -109,7 +109,7 @@
 	return c, c.judge(n.follower.held(address, t), takeAny)
 }
 
-// judge grades a coordinator that answered; held is set when the other tie has it, takeAny when a tie without documents
+// judge grades a coordinator that answered; held is set when the other tie has it, takeAny when even one that is no member
 // is better than none.
 func (c contact) judge(held, takeAny bool) grade {
 	switch {
@@ -117,11 +117,11 @@
 		return shared
 	case c.view.GetConfirmed():
 		return wanted
-	case !takeAny:
-		return useless
 	case slices.Contains(c.view.GetVoters(), c.address):
 		return unconfirmed
-	default:
+	case takeAny:
 		return stranger
+	default:
+		return useless
 	}
 }
--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -31,7 +31,8 @@
 	Data  []byte
 }
 
-// HardState is what a member must have stored before it sends a vote or an acknowledgement.
+// HardState is what a member must have stored before it sends a vote or an acknowledgement. Vote is the candidate that
+// got the member's vote in the term or, once known, its leader.
 type HardState struct {
 	Term uint64
 	Vote uint64
@@ -163,7 +164,7 @@
 	commit     uint64
 	handed     uint64
 
-	// heard is when a message of a leader arrived last; votes are refused within Lease after it.
+	// heard is when a message of a leader arrived last; within Lease after it others get no vote.
 	heard    time.Time
 	deadline time.Time
 	votes    map[uint64]bool
@@ -178,8 +179,8 @@
 	lastObserve time.Time
 }
 
-// New returns a member that starts from stored state. It counts as having heard from a leader at now, since it can't
-// know what it promised before a restart.
+// New returns a member that starts from stored state. It counts as having heard at now from the leader that it voted for
+// or followed before a restart, since it can't know how long ago that was; if it was that leader it stands again at once.
 func New(now time.Time, cfg Config, st State) (*Node, error) {
 	cfg.setDefaults()
 	if cfg.ID == 0 || cfg.Rand == nil {
@@ -199,7 +200,7 @@
 	}
 	n.log.stored = n.log.last()
 	n.resetDeadline(now)
-	if v := n.Members().Voters(); len(v) == 1 && v[0] == cfg.ID {
+	if v := n.Members().Voters(); len(v) == 1 && v[0] == cfg.ID || st.Hard.Vote == cfg.ID {
 		n.deadline = now
 	}
 	return n, nil
--- a/pkg/crlog/crlog_test.go
+++ b/pkg/crlog/crlog_test.go
@@ -25,6 +25,7 @@
 var faults = []string{
 	"time", "time", "time", "flow", "flow", "flow", "flow", "pick", "pick", "copy", "lose", "propose", "propose",
 	"propose", "read", "read", "cut", "heal", "heal", "crash", "tear", "start", "start", "transfer", "replace", "pause", "unlink", "unlink",
+	"blackout",
 }
 
 func (w *world) fault(op string, k int) {
@@ -33,6 +34,8 @@
 	switch op {
 	case "time":
 		w.tick(time.Duration(k%60) * time.Millisecond)
+	case "blackout":
+		w.blackout()
 	case "pause":
 		w.tick(time.Duration(k%1200) * time.Millisecond)
 	case "flow":
@@ -227,6 +230,50 @@
 	w.run(old)
 }
 
+// Guards against a core that waits out a lease after a loss of power everywhere, although all members know who held it.
+func TestElectionAfterBlackout(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 5)
+		w.settleFor(2 * time.Second)
+		old := w.leader()
+		w.blackout()
+		w.settleFor(300 * time.Millisecond)
+		c.Assert(w.leader(), qt.Equals, old)
+		_, _, ok := w.propose([]byte("x"))
+		c.Assert(ok, qt.IsTrue)
+	}
+}
+
+// Guards against a member that forgets across a restart which leader it has granted a lease, and helps another one.
+func TestLeaseAcrossRestart(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 1, 3)
+	s := w.sims[1]
+	// The member voted for 2 in term 4, which 3 won.
+	s.disk.Hard = crlog.HardState{Term: 4, Vote: 2}
+	w.start(s)
+	s.node.Step(w.now(s), crlog.Message{Kind: crlog.AppendRequest, From: 3, FromAddress: "m3", To: 1, Term: 4, Round: 1})
+	w.run(s)
+	w.start(s)
+	granted := func(candidate uint64) bool {
+		w.queue = nil
+		s.node.Step(w.now(s), crlog.Message{Kind: crlog.PreVoteRequest, From: candidate, FromAddress: addr(candidate), To: 1, Term: 5})
+		w.run(s)
+		c.Assert(w.queue, qt.HasLen, 1)
+		return !w.queue[0].Reject
+	}
+	c.Assert(granted(2), qt.IsFalse)
+	c.Assert(granted(3), qt.IsTrue)
+	// In a term without a vote the member does not know who may hold a lease.
+	s.disk.Hard = crlog.HardState{Term: 4}
+	w.start(s)
+	c.Assert(granted(2), qt.IsFalse)
+	c.Assert(granted(3), qt.IsFalse)
+	w.tick(1100 * time.Millisecond)
+	c.Assert(granted(2), qt.IsTrue)
+}
+
 // Guards against a follower that lost only its link to the leader and takes over while the lease lasts.
 func TestBrokenLinkDoesNotDepose(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -27,7 +27,7 @@
 		n.stepPreVote(now, m)
 		return
 	case VoteRequest:
-		if !m.Force && n.leaseBinds(now) {
+		if !m.Force && n.leaseBinds(now, m.From) {
 			return
 		}
 	}
@@ -82,16 +82,18 @@
 	}
 }
 
-// leaseBinds reports whether a leader may still hold a lease that this member granted.
-func (n *Node) leaseBinds(now time.Time) bool {
+// leaseBinds reports whether a leader other than the candidate may still hold a lease that this member granted. Within a
+// term a member grants leases to the one that stands as its vote only, see follow, and that one leads no longer when it
+// stands for election.
+func (n *Node) leaseBinds(now time.Time, candidate uint64) bool {
 	if n.role == Leader {
 		return now.Before(n.lead.quorumAt.Add(n.cfg.Lease))
 	}
-	return now.Before(n.heard.Add(n.cfg.Lease))
+	return n.hard.Vote != candidate && now.Before(n.heard.Add(n.cfg.Lease))
 }
 
 func (n *Node) stepPreVote(now time.Time, m Message) {
-	ok := m.Term > n.hard.Term && !n.leaseBinds(now) && n.log.upToDate(m.Index, m.LogTerm)
+	ok := m.Term > n.hard.Term && !n.leaseBinds(now, m.From) && n.log.upToDate(m.Index, m.LogTerm)
 	r := Message{Kind: PreVoteResponse, To: m.From, Address: m.FromAddress, Reject: !ok}
 	if ok {
 		r.Term = m.Term
@@ -171,12 +173,15 @@
 	n.resetDeadline(now)
 }
 
-// follow takes the sender of a message of this term as leader.
+// follow takes the sender of a message of this term as leader. It is stored as the vote before the message is answered,
+// so that after a restart the member still knows to whom it may have granted a lease; a vote for a candidate that lost
+// is not needed any more.
 func (n *Node) follow(now time.Time, m Message) {
 	if n.role != Follower {
 		n.becomeFollower(now, m.Term)
 	}
 	n.leader, n.leaderAddr = m.From, m.FromAddress
+	n.hard.Vote = m.From
 	n.heard = now
 	n.resetDeadline(now)
 }
--- a/pkg/crlog/world_test.go
+++ b/pkg/crlog/world_test.go
@@ -266,6 +266,15 @@
 	return s
 }
 
+// blackout stops every member that runs and starts it again; messages under way still arrive.
+func (w *world) blackout() {
+	for _, id := range w.ids() {
+		if s := w.sims[id]; !s.down {
+			w.start(s)
+		}
+	}
+}
+
 // restartAll starts every member that is down and has its disk.
 func (w *world) restartAll() {
 	for _, id := range w.ids() {
