crwire: sessions end without readers that turn

Cause: when a yamux session ends it closes a channel that wakes the readers of its streams, closes the connection, waits for its reading goroutine and only then marks the streams as closed. In between Stream.Read loops without a pause. Ruled out: timers of our own that fire at once (none loops), the search for coordinators (one round, then a pause), a collector that cannot keep up (34 MB of 184). Change: a line below yamux closes the connection before yamux learns of any error, and leaves the end of the session to the goroutine that reads; the session asks for signs of life itself and cuts the line when there are none.

--- a/internal/crwire/endpoint.go
+++ b/internal/crwire/endpoint.go
@@ -187,7 +187,7 @@
 	}
 	e.mu.Unlock()
 	for _, s := range open {
-		_ = s.ya.Close()
+		s.line.cut()
 	}
 	e.wg.Wait()
 }
--- a/internal/crwire/session.go
+++ b/internal/crwire/session.go
@@ -18,6 +18,7 @@
 type Session struct {
 	peer Peer
 	mux  *Mux
+	line *line
 	ya   *yamux.Session
 	idle idleStreams
 	// ctx ends with the session, so that handlers stop when the other side is gone.
@@ -26,10 +27,14 @@
 	wg     sync.WaitGroup
 }
 
-// yamuxConfig finds a silent peer within keepalive interval plus write timeout, 2 s in all.
+// keepAliveInterval is the time between questions whether the other side is there. With the write timeout of a question a
+// silent peer is found within 2 s.
+const keepAliveInterval = time.Second
+
 func yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = time.Second
+	// The session asks by itself, see keepAlive: yamux would end on another goroutine than the reading one.
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = time.Second
 	c.StreamCloseTimeout = 5 * time.Second
 	c.AcceptBacklog = 4096
@@ -44,21 +49,40 @@
 		ya  *yamux.Session
 		err error
 	)
+	l := newLine(conn)
 	if client {
-		ya, err = yamux.Client(&merged{Conn: conn}, yamuxConfig())
+		ya, err = yamux.Client(&merged{Conn: l}, yamuxConfig())
 	} else {
-		ya, err = yamux.Server(&merged{Conn: conn}, yamuxConfig())
+		ya, err = yamux.Server(&merged{Conn: l}, yamuxConfig())
 	}
 	if err != nil {
 		return nil, crcode.New(crcode.ConnectionLost, "%v", err)
 	}
-	s := &Session{peer: peer, mux: mux, ya: ya}
+	s := &Session{peer: peer, mux: mux, line: l, ya: ya}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Add(1)
 	go s.acceptLoop()
+	s.wg.Go(s.keepAlive)
 	return s, nil
 }
 
+// keepAlive ends the session when the other side has fallen silent.
+func (s *Session) keepAlive() {
+	tick := time.NewTicker(keepAliveInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.Done():
+			return
+		case <-tick.C:
+			if _, err := s.ya.Ping(); err != nil {
+				s.line.cut()
+				return
+			}
+		}
+	}
+}
+
 // Peer returns who is at the other end.
 func (s *Session) Peer() Peer { return s.peer }
 
@@ -71,6 +95,8 @@
 // Close ends the session and waits for its handlers.
 func (s *Session) Close() error {
 	s.cancel()
+	s.line.cut()
+	<-s.Done()
 	err := s.ya.Close()
 	s.wg.Wait()
 	return err
