crlog, crcoord, crforward: a follower of a leader without a majority is not confirmed

The follower went on hearing from the leader until that stepped down, two leases later, and told its nodes that their document was confirmed until 10.07 s. The others had acknowledged version 9 at 8.54 s; a node with both ties to the two answered by the older one at 10.656 s (CONFIG, 2.0 s allowed). Ruled out: a leader that steps down when its lease ends (it could not be found again after a short stall without an election); nodes with three ties (the same for three that are cut off). Change: heartbeats tell the rest of the leader's lease and a follower counts as confirmed no longer than that. A node gives up a coordinator that is no longer confirmed after 0.7 s instead of 1.5 s after its last confirmed message. A leader of an older release tells no lease, so during an upgrade only the leader itself counts as confirmed. Measured: TestFollowerOfIsolatedLeader: no lease known 1.04 s after the cut, while the last heartbeat is below 0.15 s old.

--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -25,9 +25,6 @@
 const (
 	// FeedInterval is the time between messages of a feed without news.
 	FeedInterval = 500 * time.Millisecond
-	// confirmWithin is how recently a member must have heard from the leader for its version to count as confirmed; it is
-	// the lease of the log, after which another leader may exist.
-	confirmWithin = time.Second
 	// commandTimeout bounds an operator's change or read; operators try another coordinator after a second.
 	commandTimeout = 900 * time.Millisecond
 	// standingInterval is the time between looks whether the version is still confirmed; nodes that start without a document
@@ -146,13 +143,14 @@
 	return d, nil
 }
 
-// confirmed reports whether this coordinator is a member that hears from a leader with a majority.
+// confirmed reports whether this coordinator is a member that hears from a leader with a majority. A leader that is cut
+// off goes on sending to those on its side, so the rest of its lease decides.
 func (c *Coordinator) confirmed() bool {
 	s := c.replica.Status()
 	if s.Role == crlog.Leader {
 		return s.Leads
 	}
-	return s.Leader != 0 && s.LastHeardFromLeader+time.Since(s.At) < confirmWithin
+	return s.Leader != 0 && s.Lease > time.Since(s.At)
 }
 
 // standing tells whether this coordinator is confirmed.
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -24,6 +24,9 @@
 	// feedSilence is how long a feed may be silent, or unconfirmed, before another coordinator is asked; three messages
 	// are due in that time.
 	feedSilence = 3 * crcoord.FeedInterval
+	// leaderlessFor is how long a coordinator that is no longer confirmed is kept before another is sought: an election
+	// takes up to 0.3 s from the end of the lease, and some round trips.
+	leaderlessFor = 700 * time.Millisecond
 	// roundPause is the mean wait after all known coordinators failed.
 	roundPause = 300 * time.Millisecond
 	// failedLately is how long a coordinator that was lost is tried after the others.
@@ -216,6 +219,7 @@
 		have = t.Version()
 	}
 	var waiting *crwire.DocumentFeed
+	var before bool
 	err = crwire.Receive(tied, c.session, crcoord.MethodWatch, &crwire.DocumentWatch{Have: have}, func(f *crwire.DocumentFeed) error {
 		n.follower.learn(f.GetVoters(), nil)
 		if f.GetDocument() != nil {
@@ -225,10 +229,14 @@
 			n.take(waiting, f.GetConfirmed())
 			waiting = nil
 		}
-		if f.GetConfirmed() {
+		switch {
+		case f.GetConfirmed():
 			confirmed = true
 			silent.Reset(feedSilence)
+		case before:
+			silent.Reset(leaderlessFor)
 		}
+		before = f.GetConfirmed()
 		return nil
 	})
 	return confirmed, err
--- a/pkg/crlog/crlog_test.go
+++ b/pkg/crlog/crlog_test.go
@@ -274,6 +274,29 @@
 	c.Assert(granted(2), qt.IsTrue)
 }
 
+// Guards against a follower that takes a leader without a majority for the present one, because it is cut off together
+// with that leader and still hears from it.
+func TestFollowerOfIsolatedLeader(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 5, 5)
+	w.settleFor(2 * time.Second)
+	old := w.leader()
+	follower := w.sims[old.id%5+1]
+	for range 20 {
+		w.settleFor(50 * time.Millisecond)
+		c.Assert(follower.node.Status(w.now(follower)).Lease > 500*time.Millisecond, qt.IsTrue)
+	}
+	w.side[old.id], w.side[follower.id] = 1, 1
+	w.settleFor(1040 * time.Millisecond)
+	st := follower.node.Status(w.now(follower))
+	c.Assert(st.Leader, qt.Equals, old.id)
+	c.Assert(st.LastHeardFromLeader < 150*time.Millisecond, qt.IsTrue)
+	c.Assert(st.Lease, qt.Equals, time.Duration(0))
+	clear(w.side)
+	w.settleFor(3 * time.Second)
+	c.Assert(follower.node.Status(w.now(follower)).Lease > 0, qt.IsTrue)
+}
+
 // Guards against a follower that lost only its link to the leader and takes over while the lease lasts.
 func TestBrokenLinkDoesNotDepose(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -166,7 +166,7 @@
 	}
 	if term > n.hard.Term {
 		n.hard = HardState{Term: term}
-		n.leader, n.leaderAddr = 0, ""
+		n.leader, n.leaderAddr, n.assured = 0, "", time.Time{}
 	}
 	n.dropReads()
 	n.role, n.lead, n.votes, n.forced = Follower, nil, nil, false
@@ -183,6 +183,9 @@
 	n.leader, n.leaderAddr = m.From, m.FromAddress
 	n.hard.Vote = m.From
 	n.heard = now
+	if until := now.Add(m.Lease); until.After(n.assured) {
+		n.assured = until
+	}
 	n.resetDeadline(now)
 }
 
