cradmin, crforward: latency histograms on the metrics address

Cause: the users' engineers have only logs and metrics, and the metrics had counters without times: a slow service could be told from a full queue only by reading lines. Ruled out: a histogram for each route (thousands of them); quantiles alone (cannot be added up over processes or time). Conclusion: done but for the cost of the logs, which is not measured yet.

--- a/internal/cradmin/cradmin.go
+++ b/internal/cradmin/cradmin.go
@@ -109,12 +109,27 @@
 
 // Counters is a set of named expvar counters that belongs to one component, so that several can live in one process.
 type Counters struct {
-	vars expvar.Map
+	vars      expvar.Map
+	latencies latencies
 }
 
 // Add adds delta to the counter called name.
 func (c *Counters) Add(name string, delta int64) { c.vars.Add(name, delta) }
 
+// Observe adds a time to the histogram called name. A process has a bounded number of histograms; times for further ones
+// are counted as latencies_dropped.
+func (c *Counters) Observe(name string, d time.Duration) {
+	h, added := c.latencies.get(name)
+	if h == nil {
+		c.Add("latencies_dropped", 1)
+		return
+	}
+	if added {
+		c.vars.Set(name, h)
+	}
+	h.observe(d)
+}
+
 // Declare shows the counters called names from now on, also those that were never added to.
 func (c *Counters) Declare(names ...string) {
 	for _, n := range names {
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -79,6 +79,14 @@
 
 func refuse(code crcode.Code, detail string) *reply { return &reply{code: code, detail: detail} }
 
+// ending names how the call ended, for metrics.
+func (r *reply) ending() string {
+	if r.code == crcode.OK && r.status >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return r.code.String()
+}
+
 // end releases what the reply holds.
 func (r *reply) end() {
 	if r.close != nil {
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -44,6 +44,13 @@
 	return out
 }
 
+// Names of the latency histograms; the service follows, and for requests how they ended.
+const (
+	requestTime = "request_time/"
+	waitTime    = "wait_time/"
+	runTime     = "run_time/"
+)
+
 func (n *Node) gauges() {
 	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "coordinator_unreachable", "server_connections", "documents_unreadable")
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -95,6 +95,7 @@
 	r, tries := n.watched(req.Context(), c, route)
 	defer r.end()
 	n.logAnswer(c, r, tries, arrived)
+	n.Counters.Observe(requestTime+c.service+"/"+r.ending(), time.Since(arrived))
 	if r.code == crcode.OK {
 		n.Counters.Add("answered", 1)
 		n.finishBody(w, c)
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -317,6 +317,8 @@
 	g.node.ledger.Started(c.route)
 	started := time.Now()
 	r := g.exchange(ctx, c, l, waited)
+	g.node.Counters.Observe(waitTime+c.service, waited)
+	g.node.Counters.Observe(runTime+c.service, r.took)
 	r.excused = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.Ended(c.route, r.took, r.code == crcode.OK && r.status < 500)
 	r.origin = c.origin
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -395,6 +395,40 @@
 	qt.Assert(t, time.Since(since) < 1600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
 }
 
+// TestLatencyHistograms guards against times that are shown for the wrong service, node or ending.
+func TestLatencyHistograms(t *testing.T) {
+	c := newCluster(t)
+	from, to := c.add("ledger"), c.add("photos")
+	c.put(3, 0, route("/p/", "photos", crroute.Once))
+	from.until(t, "/p/warm", http.StatusOK)
+	to.backend.set(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	resp, _, err := from.send(context.Background(), "POST", "/p/x", "i-1", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusInternalServerError)
+	times := func(n *node) map[string]json.RawMessage {
+		out := map[string]json.RawMessage{}
+		qt.Assert(t, json.Unmarshal([]byte(n.Counters.String()), &out), qt.IsNil)
+		return out
+	}
+	read := func(n *node, name string) (h struct {
+		Count int64   `json:"count"`
+		MaxMS float64 `json:"max_ms"`
+	},
+	) {
+		qt.Assert(t, json.Unmarshal(times(n)[name], &h), qt.IsNil, qt.Commentf("%s", name))
+		return h
+	}
+	qt.Assert(t, read(from, "request_time/photos/server_error").Count, qt.Equals, int64(1))
+	qt.Assert(t, read(from, "request_time/photos/server_error").MaxMS >= 50, qt.IsTrue)
+	qt.Assert(t, read(from, "request_time/photos/ok").Count > 0, qt.IsTrue)
+	qt.Assert(t, read(to, "run_time/photos").MaxMS >= 50, qt.IsTrue)
+	qt.Assert(t, read(to, "wait_time/photos").Count, qt.Equals, read(to, "run_time/photos").Count)
+	qt.Assert(t, times(to)["request_time/photos/ok"], qt.IsNil)
+}
+
 // TestForwarded guards against requests and answers that change on their way.
 func TestForwarded(t *testing.T) {
 	c := newCluster(t)
