--- a/internal/crwire/line.go
+++ b/internal/crwire/line.go
@@ -6,7 +6,7 @@
 )
 
 // line is a connection below yamux. When a yamux session ends it wakes the readers of its streams first, then closes the
-// connection and only after that marks the streams as closed; in between the readers turn without a pause, and a
+// connection and only after that marks the streams as closed; in between the readers spin, and a
 // process with one processor may get no further. A line is closed before yamux learns of any error, and yamux ends on
 // the goroutine that reads, so that nothing waits in between.
 type line struct {
@@ -43,7 +43,7 @@
 	return n, err
 }
 
-// Close is called by yamux while the readers of streams turn, so it does not wait.
+// Close is called by yamux while the readers of streams spin, so it does not wait.
 func (l *line) Close() error {
 	l.end()
 	go l.cut()
--- a/internal/crwire/line_test.go
+++ b/internal/crwire/line_test.go
@@ -50,7 +50,7 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// TestNoSpinAtEnd guards against readers of streams that turn without a pause while the session ends: yamux wakes them
+// TestNoSpinAtEnd guards against readers of streams that spin while the session ends: yamux wakes them
 // before it marks their streams as closed, and a process with one processor may not get any further.
 func TestNoSpinAtEnd(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
