crpipeline, crexchange: clients that pipeline; junk without an end

Cause: some clients send further requests before the first has been answered. Change: internal/crpipeline reads ahead into a bounded buffer, ends the context of the connection when the client leaves and tells when a head arrived; the entrance counts the time from there, answers at once what has none left and drops what a client that left had sent. A connection with unread requests closes for writing first. crexchange gives up after 5 interim answers and after 64 KiB of a stray body. Conclusion: requests behind are served one after the other; whether to start them earlier is still to be measured.

--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -26,8 +26,12 @@
 	defaultIdle = 4 * time.Second
 	// maxHeaderBytes bounds the head of a response.
 	maxHeaderBytes = 64 << 10
-	// maxStrays bounds the answers to earlier requests that are skipped before the own one.
+	// maxStrays bounds the answers to earlier requests that are skipped before the own one, and strayBytes the body of each:
+	// a new connection costs less than reading on.
 	maxStrays  = 2
+	strayBytes = 64 << 10
+	// maxInterim bounds the 1xx answers before the final one; usual servers send one or two.
+	maxInterim = 5
 	bufferSize = 8 << 10
 )
 
@@ -37,6 +41,9 @@
 // ErrForeign means that the response is no answer to the request.
 var ErrForeign = errors.New("the response does not belong to the request")
 
+// errInterim means that interim answers came without a final one.
+var errInterim = errors.New("too many interim responses")
+
 // Client holds the connections to one address. Set the exported fields before use.
 type Client struct {
 	Address string
@@ -214,7 +221,7 @@
 func (c *Client) receive(cn *conn, r *Request) (*Response, error) {
 	request := &http.Request{Method: r.Method}
 	clean := true
-	for strays := 0; ; {
+	for strays, interim := 0, 0; ; {
 		cn.meter.left = maxHeaderBytes
 		hr, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
@@ -222,6 +229,9 @@
 		}
 		cn.meter.left = math.MaxInt
 		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
+			if interim++; interim > maxInterim {
+				return nil, errInterim
+			}
 			continue
 		}
 		if c.Owns != nil && !c.Owns(r.Header, hr.Header) {
@@ -229,7 +239,10 @@
 				return nil, ErrForeign
 			}
 			clean = false
-			if _, err := io.Copy(io.Discard, hr.Body); err != nil {
+			switch n, err := io.CopyN(io.Discard, hr.Body, strayBytes+1); {
+			case n > strayBytes:
+				return nil, ErrForeign
+			case err != io.EOF:
 				return nil, errors.Join(ErrForeign, err)
 			}
 			continue
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -15,6 +15,7 @@
 	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crexchange"
+	"github.com/citronramp/citronramp/internal/crpipeline"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crroute"
@@ -120,7 +121,8 @@
 	defer cancel()
 	entrance := n.server(http.HandlerFunc(n.serveEntrance), entranceIdle)
 	inbound := n.server(http.HandlerFunc(n.serveInbound), hopIdle)
-	n.wg.Go(func() { n.ended("entrance", entrance.Serve(crexchange.Listen(n.Entrance))) })
+	entrance.ConnContext = crpipeline.Context
+	n.wg.Go(func() { n.ended("entrance", entrance.Serve(crpipeline.Listen(crexchange.Listen(n.Entrance)))) })
 	n.wg.Go(func() { n.ended("inbound", inbound.Serve(crexchange.Listen(n.Inbound))) })
 	n.wg.Go(func() { n.ended("ready", cradmin.Serve(duties, n.Ready, n.readyHandler())) })
 	n.wg.Go(func() { n.ended("control", cradmin.Serve(duties, n.Control, n.ControlHandler)) })
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crpipeline"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crroute"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -51,12 +52,13 @@
 			req.Body = http.MaxBytesReader(w, req.Body, limit)
 		}
 	}
-	c := n.callOf(req, route, now)
+	// The time of a request that waited behind another on its connection began when it came.
+	c := n.callOf(req, route, crpipeline.Arrived(req.Context(), now))
 	n.serveCall(w, req, c, route, now)
 }
 
-// callOf builds the call of a request.
-func (n *Node) callOf(req *http.Request, route *crroute.Route, now time.Time) *call {
+// callOf builds the call of a request that arrived at a time.
+func (n *Node) callOf(req *http.Request, route *crroute.Route, arrived time.Time) *call {
 	names := n.Settings.Headers
 	left, ok := milliseconds(req.Header.Get(names.Timeout))
 	if !ok {
@@ -65,7 +67,7 @@
 	c := &call{
 		id: req.Header.Get(names.RequestID), route: route.Name, service: route.Service(rand.Float64()), method: req.Method,
 		target: req.RequestURI, host: req.Host, header: req.Header, body: req.Body, length: req.ContentLength,
-		deadline: now.Add(min(left, route.Timeout)), caller: n.Settings.Service, once: !route.Repeatable(),
+		deadline: arrived.Add(min(left, route.Timeout)), caller: n.Settings.Service, once: !route.Repeatable(),
 		idle: n.gate.idle(),
 	}
 	c.origin = n.origins.of(route.Name)
@@ -74,16 +76,20 @@
 	}
 	c.worth = uint32(topWorth - min(max(route.Priority, 0), topWorth-1))
 	c.due = c.deadline
-	if target := now.Add(route.Target); route.Target > 0 && target.Before(c.due) {
+	if target := arrived.Add(route.Target); route.Target > 0 && target.Before(c.due) {
 		c.due = target
 	}
 	return c
 }
 
-func (n *Node) serveCall(w http.ResponseWriter, req *http.Request, c *call, route *crroute.Route, arrived time.Time) {
-	if r := n.admit(arrived, c, route); r != nil {
+func (n *Node) serveCall(w http.ResponseWriter, req *http.Request, c *call, route *crroute.Route, now time.Time) {
+	if req.Context().Err() != nil {
+		// The client has left while the request waited behind another.
+		panic(http.ErrAbortHandler)
+	}
+	if r := n.admit(now, c, route); r != nil {
 		n.finishBody(w, c)
-		n.reject(w, c, r, n.retryIn(r, c.deadline.Sub(arrived)))
+		n.reject(w, c, r, n.retryIn(r, c.deadline.Sub(now)))
 		return
 	}
 	release, err := n.bodies.keep(c)
@@ -94,8 +100,8 @@
 	}
 	r, tries := n.watched(req.Context(), c, route)
 	defer r.end()
-	n.logAnswer(c, r, tries, arrived)
-	n.Counters.Observe(requestTime+c.service+"/"+r.ending(), time.Since(arrived))
+	n.logAnswer(c, r, tries, now)
+	n.Counters.Observe(requestTime+c.service+"/"+r.ending(), time.Since(now))
 	if r.code == crcode.OK {
 		n.Counters.Add("answered", 1)
 		n.finishBody(w, c)
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -90,9 +90,12 @@
 	return best, intensity
 }
 
-// admit decides at the entrance whether a request is let in; calls of work that runs always are, and requests of routes
+// admit decides at the entrance whether a request is let in; one without time left is not. Calls of work that runs always are, and requests of routes
 // that are not known to be clients' might be such calls.
 func (n *Node) admit(now time.Time, c *call, route *crroute.Route) *reply {
+	if !now.Before(c.deadline) {
+		return refuse(crcode.DeadlineExpired, "")
+	}
 	if c.origin != originClients {
 		return nil
 	}
--- /dev/null
+++ b/internal/crpipeline/crpipeline_test.go
@@ -0,0 +1,163 @@
+package crpipeline_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crpipeline"
+)
+
+// pair returns the two ends of a connection and the context of the server's end.
+func pair(t *testing.T) (client net.Conn, server *crpipeline.Conn, ctx context.Context) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	client, err = net.Dial("tcp", ln.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	accepted, err := crpipeline.Listen(ln).Accept()
+	qt.Assert(t, err, qt.IsNil)
+	server = accepted.(*crpipeline.Conn)
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = server.Close()
+	})
+	return client, server, crpipeline.Context(context.Background(), server)
+}
+
+func write(t *testing.T, c net.Conn, s string) {
+	t.Helper()
+	_, err := io.WriteString(c, s)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func read(t *testing.T, c net.Conn, size int) string {
+	t.Helper()
+	b := make([]byte, size)
+	n, err := c.Read(b)
+	qt.Assert(t, err, qt.IsNil)
+	return string(b[:n])
+}
+
+// TestHeadsApart guards against two heads in one read, wherever their ends fall: the second would have the time of the first.
+func TestHeadsApart(t *testing.T) {
+	const first, second = "GET / HTTP/1.1\r\nA: b\r\n\r\n", "GET /second HTTP/1.1\r\n\r\n"
+	for cut := 1; cut < len(first); cut++ {
+		client, server, _ := pair(t)
+		write(t, client, first[:cut])
+		got := read(t, server, 4096)
+		write(t, client, first[cut:]+second)
+		for len(got) < len(first) {
+			got += read(t, server, 4096)
+		}
+		qt.Assert(t, got, qt.Equals, first, qt.Commentf("cut at %d", cut))
+		qt.Assert(t, read(t, server, 4096), qt.Equals, second)
+	}
+}
+
+// TestArrived guards against a request whose time is that of another.
+func TestArrived(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\n\r\n"
+	client, server, ctx := pair(t)
+	begin := time.Now()
+	write(t, client, head)
+	qt.Assert(t, read(t, server, 4096), qt.Equals, head)
+	// The server looks for the end of the connection while the first request runs.
+	looked := make(chan string)
+	go func() { looked <- read(t, server, 1) }()
+	qt.Assert(t, crpipeline.Arrived(ctx, time.Now()).Sub(begin) < 50*time.Millisecond, qt.IsTrue)
+	for range 2 {
+		time.Sleep(100 * time.Millisecond)
+		write(t, client, head)
+	}
+	qt.Assert(t, <-looked, qt.Equals, "G")
+	time.Sleep(100 * time.Millisecond)
+	for i, want := range []string{head[1:], head} {
+		got := ""
+		for len(got) < len(want) {
+			got += read(t, server, 4096)
+		}
+		qt.Assert(t, got, qt.Equals, want)
+		after := crpipeline.Arrived(ctx, time.Now()).Sub(begin)
+		least := time.Duration(i+1) * 100 * time.Millisecond
+		qt.Assert(t, after >= least && after < least+90*time.Millisecond, qt.IsTrue, qt.Commentf("request %d came after %v", i+1, after))
+	}
+	now := time.Now()
+	qt.Assert(t, crpipeline.Arrived(context.Background(), now), qt.Equals, now)
+}
+
+// TestLeft guards against a context that outlives the client whose further request nobody reads yet.
+func TestLeft(t *testing.T) {
+	client, server, ctx := pair(t)
+	write(t, client, strings.Repeat("x", 100))
+	qt.Assert(t, read(t, server, 1), qt.Equals, "x")
+	time.Sleep(20 * time.Millisecond)
+	qt.Assert(t, ctx.Err(), qt.IsNil)
+	qt.Assert(t, client.Close(), qt.IsNil)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		t.Fatal("the client has left and nobody knows")
+	}
+	// What came before the end is still read, then the end.
+	rest, err := io.ReadAll(server)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(rest), qt.Equals, 99)
+}
+
+// TestDeadline guards against a read that waits for the one ahead and outlives its deadline, and against a deadline that
+// ends later reads.
+func TestDeadline(t *testing.T) {
+	client, server, ctx := pair(t)
+	write(t, client, "a")
+	qt.Assert(t, read(t, server, 1), qt.Equals, "a")
+	qt.Assert(t, server.SetReadDeadline(time.Now().Add(30*time.Millisecond)), qt.IsNil)
+	_, err := server.Read(make([]byte, 10))
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
+	qt.Assert(t, server.SetReadDeadline(time.Time{}), qt.IsNil)
+	write(t, client, "later")
+	qt.Assert(t, read(t, server, 10), qt.Equals, "later")
+	qt.Assert(t, ctx.Err(), qt.IsNil)
+}
+
+// TestBounded guards against a buffer that grows with what the client sends.
+func TestBounded(t *testing.T) {
+	client, server, _ := pair(t)
+	write(t, client, "a")
+	qt.Assert(t, read(t, server, 1), qt.Equals, "a")
+	qt.Assert(t, client.SetWriteDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+	const flood = 64 << 20
+	n, err := client.Write(make([]byte, flood))
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%d bytes were taken", n))
+	got := 0
+	qt.Assert(t, server.SetReadDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+	for err = nil; err == nil; {
+		var m int
+		m, err = server.Read(make([]byte, 1<<20))
+		got += m
+	}
+	qt.Assert(t, got, qt.Equals, n, qt.Commentf("all that was taken is read"))
+}
+
+// TestLinger guards against a connection that is reset by requests that nobody read, with its last answer.
+func TestLinger(t *testing.T) {
+	client, server, _ := pair(t)
+	write(t, client, "a")
+	qt.Assert(t, read(t, server, 1), qt.Equals, "a")
+	write(t, server, "the last answer")
+	write(t, client, "a request that is not read")
+	qt.Assert(t, server.Close(), qt.IsNil)
+	write(t, client, "and one that comes later")
+	time.Sleep(20 * time.Millisecond)
+	got, err := io.ReadAll(client)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(got), qt.Equals, "the last answer")
+}
