crshed, crforward, crreplay: pressure in place of intensity; allotted shares; short hints

A gate that refuses because its server leaves was asked again and again, as it reports no load. Hints of up to 2 s made nearly all answers to requests that came back late. Change: gates tell what callers offer as a multiple of what the server can do (demand of calls, by the share that their senders let in); entrances allot the work that can be done to priorities by the mix they see, cheap requests beside dearer ones above them; clients are told to come back while an answer can be in time; crrouter leaves a gate alone that said that it leaves. The replay knows servers that leave or refuse and asks up to four gates, as nodes do.

--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -27,19 +27,19 @@
 
 // Events of what a process believes.
 const (
-	ServerJoined   Event = "server_joined"
-	ServerDraining Event = "server_draining"
-	ServerGone     Event = "server_gone"
-	ServerEjected  Event = "server_ejected"
-	ServerReturned Event = "server_returned"
-	ServersChanged Event = "servers_changed"
-	ConfigLearned  Event = "config_learned"
-	ConfigAccepted Event = "config_accepted"
-	ConfigRefused  Event = "config_refused"
-	ConfigUnclear  Event = "config_unclear"
-	LeaderChanged  Event = "leader_changed"
-	MemberChange   Event = "member_change"
-	ShareChanged   Event = "share_changed"
+	ServerJoined    Event = "server_joined"
+	ServerDraining  Event = "server_draining"
+	ServerGone      Event = "server_gone"
+	ServerEjected   Event = "server_ejected"
+	ServerReturned  Event = "server_returned"
+	ServersChanged  Event = "servers_changed"
+	ConfigLearned   Event = "config_learned"
+	ConfigAccepted  Event = "config_accepted"
+	ConfigRefused   Event = "config_refused"
+	ConfigUnclear   Event = "config_unclear"
+	LeaderChanged   Event = "leader_changed"
+	MemberChange    Event = "member_change"
+	PressureChanged Event = "pressure_changed"
 )
 
 // Keys of the values on a line.
@@ -68,6 +68,7 @@
 	KeySlots    = "slots"
 	KeyPriority = "priority"
 	KeyShare    = "share"
+	KeyPressure = "pressure"
 	KeyCaller   = "caller"
 	KeyCount    = "count"
 	KeyOf       = "of"
--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -167,15 +167,26 @@
 	return &conn{Conn: nc, meter: m, reader: bufio.NewReaderSize(m, bufferSize)}, nil
 }
 
+// writers are the buffers of requests that are being written: a connection holds one only while it sends.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+
+func release(w *bufio.Writer) {
+	w.Reset(nil)
+	writers.Put(w)
+}
+
 // send writes the head, and the body in its own goroutine, so that an answer that comes before the body is in is read.
 func (cn *conn) send(r *Request) (<-chan error, error) {
-	w := bufio.NewWriterSize(cn, bufferSize)
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(cn)
 	writeHead(w, r)
 	if r.Body == nil || r.Length == 0 {
+		defer release(w)
 		return nil, w.Flush()
 	}
 	done := make(chan error, 1)
 	go func() {
+		defer release(w)
 		err := writeBody(w, r)
 		if err != nil {
 			// A body that ends early must not look complete to the server.
--- a/internal/crexplain/crexplain.go
+++ b/internal/crexplain/crexplain.go
@@ -103,7 +103,7 @@
 // keys are the values of a line in the order in which they are told.
 var keys = []string{
 	crevent.KeyRoute, crevent.KeyService, crevent.KeyCaller, crevent.KeyCode, crevent.KeyStatus, crevent.KeyReason, crevent.KeyTry,
-	crevent.KeyWait, crevent.KeyTook, crevent.KeyLeft, crevent.KeyRunning, crevent.KeyQueue, crevent.KeySlots, crevent.KeyShare,
+	crevent.KeyWait, crevent.KeyTook, crevent.KeyLeft, crevent.KeyRunning, crevent.KeyQueue, crevent.KeySlots, crevent.KeyShare, crevent.KeyPressure,
 	crevent.KeyPriority, crevent.KeyVersion, crevent.KeyDetail,
 }
 
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -38,6 +38,10 @@
 	idle bool
 	// once forbids a second run.
 	once bool
+	// counted is set once a gate has counted the call as asked for; share is the part of the work offered for the service that
+	// the caller's node lets in.
+	counted bool
+	share   float64
 	// origin tells whether clients or servers send the requests of the route, as far as known.
 	origin origin
 }
@@ -67,11 +71,11 @@
 	// retryIn is when there may be room; waited and took are the times in the gate's queue and at the server.
 	retryIn      time.Duration
 	waited, took time.Duration
-	// intensity is that of the gate, board and cost what it knows of the services below; cost is nil when it tells none.
-	intensity float64
-	board     []crshed.Entry
-	cost      crcost.Vector
-	origin    origin
+	// pressure is that of the gate, board and cost what it knows of the services below; cost is nil when it tells none.
+	pressure float64
+	board    []crshed.Entry
+	cost     crcost.Vector
+	origin   origin
 	// excused tells that the server's failure may be that of a call that it made.
 	excused bool
 	close   func()
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -12,6 +12,7 @@
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crroute"
 	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crshed"
 )
 
 // Bounds of a request at the entrance.
@@ -89,7 +90,7 @@
 	}
 	if r := n.admit(now, c, route); r != nil {
 		n.finishBody(w, c)
-		n.reject(w, c, r, n.retryIn(r, c.deadline.Sub(now)))
+		n.reject(w, c, r, n.retryIn(now, c, r))
 		return
 	}
 	release, err := n.bodies.keep(c)
@@ -112,7 +113,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	n.finishBody(w, c)
-	n.reject(w, c, r, n.retryIn(r, time.Until(c.deadline)))
+	n.reject(w, c, r, n.retryIn(time.Now(), c, r))
 }
 
 // finishBody closes the connection after an answer that comes before a streamed body is in: what follows would be taken
@@ -164,7 +165,9 @@
 			return r, tries
 		}
 		last := r
+		c.share = n.shares.Passed(now, c.service, n.board.Pressure(now, c.service))
 		r = n.send(ctx, s.address(server.ID), c)
+		c.counted = c.counted || asked(r)
 		took := time.Since(now)
 		usual := s.usually(c.route)
 		n.logChange(s, server.ID, r, s.router.Done(time.Now(), server.ID, routerResult(r, took, usual)))
@@ -194,6 +197,15 @@
 	return r.code == crcode.OK || r.code == crcode.ServerRefused || r.code.Outcome() != crcode.NotRun
 }
 
+// asked reports whether the gate counts the call as work that its server is asked for.
+func asked(r *reply) bool {
+	switch r.code {
+	case crcode.NoServer, crcode.StaleIncarnation, crcode.Leaving, crcode.Stopping:
+		return false
+	}
+	return true
+}
+
 // again decides whether the call is sent to a further server; it counts repeats that reach servers.
 func (n *Node) again(ctx context.Context, s *service, c *call, route *crroute.Route, r *reply, tries, sent int) bool {
 	now := time.Now()
@@ -274,6 +286,8 @@
 	case r.code == crcode.ServerRefused:
 		// The gate sends a server no more than it has slots for, so one that refuses is at fault.
 		res.Kind = crrouter.Failed
+	case r.code == crcode.Leaving || r.code == crcode.Stopping:
+		res.Kind = crrouter.Leaving
 	case r.code.Outcome() == crcode.NotRun:
 		res.Kind = crrouter.Refused
 	default:
@@ -286,17 +300,16 @@
 const (
 	// retryUnconfigured is the hint of a node that has no configuration yet; one comes within a second of its start.
 	retryUnconfigured = 500 * time.Millisecond
-	// retryMin and retryMax bound other hints: below, clients only add load; above, there is room again long before.
-	retryMin = 200 * time.Millisecond
+	// retryMax bounds what a gate tells of its queue; there is room again long before.
 	retryMax = 2 * time.Second
 )
 
-// retryIn returns when a refused client should come back: when there may be room, spread so that clients do not return
-// together, and within a third of the time they have left.
-func (n *Node) retryIn(r *reply, left time.Duration) time.Duration {
-	d := min(max(r.retryIn, retryMin), retryMax)
-	d = d/2 + jitter(d)
-	if left > 0 {
+// retryIn returns when a refused client should come back: early enough for an answer in time, not before the queue that
+// refused it has been worked off, and within a third of the time it has left.
+func (n *Node) retryIn(now time.Time, c *call, r *reply) time.Duration {
+	spare := c.due.Sub(now) - n.services.get(c.service).usually(c.route)
+	d := max(crshed.ComeBack(spare, jitter), min(r.retryIn, retryMax))
+	if left := c.deadline.Sub(now); left > 0 {
 		d = min(d, left/3)
 	}
 	return d
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -48,7 +48,7 @@
 	missed    bool
 	regulator *crshed.Regulator
 	origins   origins
-	// told is the intensity on the last line, at toldAt; both belong to the goroutine that steps.
+	// told is the pressure on the last line, at toldAt; both belong to the goroutine that steps.
 	told   float64
 	toldAt time.Time
 }
@@ -96,7 +96,7 @@
 	g.empty(crcode.Leaving)
 	limit := limitOf(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
-	g.regulator.Start(g.node.board.Intensity(time.Now(), r.Service))
+	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queuePerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
 		Address: r.Address, MaxIdle: r.Slots, IdleTimeout: maxServerIdle, Owns: g.node.owns,
@@ -186,22 +186,25 @@
 		return lane{}, code
 	}
 	l := lane{*g.reg, g.client, g.limiter}
+	takes := g.limiter.RunTime(c.route)
+	if !c.counted {
+		c.counted = true
+		g.regulator.Arrived(takes, c.share)
+	}
 	if g.queue.Len() == 0 && g.limiter.Acquire(now) {
 		g.occupied(now)
 		g.mu.Unlock()
 		return l, crcode.OK
 	}
-	left, takes := c.deadline.Sub(now), g.limiter.RunTime(c.route)
+	left := c.deadline.Sub(now)
 	rank, due := g.ranks.Rank(now, senders[c.origin], c.worth), c.due.Add(-takes)
 	if expected := g.limiter.Expected(c.route, g.queue.Ahead(rank, due)); expected > left {
-		g.regulator.Refused(g.limiter.RunTime(c.route))
 		g.mu.Unlock()
 		return l, crcode.Overloaded
 	}
 	w := &waiter{granted: make(chan crcode.Code, 1)}
 	it := &cradmission.Item{Priority: rank, Due: due, Deadline: c.deadline.Add(-takes), Value: w}
 	if refused := g.queue.Push(now, it); refused != nil {
-		g.regulator.Refused(g.limiter.RunTime(c.route))
 		refused.Value.(*waiter).granted <- crcode.Overloaded
 	}
 	queue := g.queue
@@ -310,7 +313,7 @@
 	if code != crcode.OK {
 		r := refuse(code, "")
 		r.origin = c.origin
-		r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
+		r.waited, r.load, r.pressure = waited, g.load(), g.regulator.Pressure()
 		r.retryIn = g.roomIn()
 		return r
 	}
@@ -322,7 +325,7 @@
 	r.excused = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.Ended(c.route, r.took, r.code == crcode.OK && r.status < 500)
 	r.origin = c.origin
-	r.waited, r.load, r.intensity = waited, g.load(), g.regulator.Intensity()
+	r.waited, r.load, r.pressure = waited, g.load(), g.regulator.Pressure()
 	return r
 }
 
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -22,6 +22,7 @@
 	callCaller
 	callFlags
 	callDue
+	callShare
 	callFields
 )
 
@@ -30,6 +31,8 @@
 	flagOnce = "o"
 	// flagIdle tells that the server beside the entrance ran nothing when the request came.
 	flagIdle = "i"
+	// flagCounted tells that another gate of the service has counted the call as asked for.
+	flagCounted = "c"
 )
 
 // formatCall writes what the gate needs to know of a call.
@@ -41,10 +44,13 @@
 	if c.idle {
 		flags += flagIdle
 	}
+	if c.counted {
+		flags += flagCounted
+	}
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
 		strconv.FormatUint(uint64(c.worth), 36), url.QueryEscape(c.caller), flags,
-		formatMilliseconds(c.due.Sub(now)),
+		formatMilliseconds(c.due.Sub(now)), strconv.FormatFloat(c.share, 'f', 2, 64),
 	}, ";")
 }
 
@@ -56,7 +62,8 @@
 	left, ok := milliseconds(f[callLeft])
 	due, okDue := milliseconds(f[callDue])
 	worth, err := strconv.ParseUint(f[callWorth], 36, 32)
-	if !ok || !okDue || err != nil || f[callService] == "" {
+	share, shareErr := strconv.ParseFloat(f[callShare], 64)
+	if !ok || !okDue || err != nil || shareErr != nil || f[callService] == "" {
 		return crcode.New(crcode.MalformedMessage, "a call from another node has malformed fields")
 	}
 	for i, to := range map[int]*string{callService: &c.service, callRoute: &c.route, callCaller: &c.caller} {
@@ -67,6 +74,8 @@
 	c.deadline, c.due, c.worth = now.Add(left), now.Add(due), uint32(worth)
 	c.once = strings.Contains(f[callFlags], flagOnce)
 	c.idle = strings.Contains(f[callFlags], flagIdle)
+	c.counted = strings.Contains(f[callFlags], flagCounted)
+	c.share = share
 	return nil
 }
 
@@ -76,7 +85,7 @@
 	answerTook
 	answerRetry
 	answerLoad
-	answerIntensity
+	answerPressure
 	answerOrigin
 	answerExcused
 	answerBoard
@@ -98,18 +107,18 @@
 
 // formatAnswer writes how a call ended and what its sender may learn from it.
 func (n *Node) formatAnswer(c *call, r *reply, now time.Time) string {
-	load, intensity, excused := "", "", ""
+	load, pressure, excused := "", "", ""
 	if r.excused {
 		excused = "1"
 	}
 	if r.load != nil {
-		load = fmt.Sprintf("%d,%d,%d", r.load.InFlight, r.load.Limit, r.load.Queued)
-		intensity = strconv.FormatFloat(r.intensity, 'f', 2, 64)
+		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued)
+		pressure = strconv.FormatFloat(r.pressure, 'f', 2, 64)
 	}
 	var board, cost []string
 	for _, e := range n.board.Entries(now, boardEntries) {
 		if e.Service != n.Settings.Service {
-			board = append(board, fmt.Sprintf("%s=%.2f/%d", url.QueryEscape(e.Service), e.Intensity, e.Age.Milliseconds()))
+			board = append(board, url.QueryEscape(e.Service)+"="+strconv.FormatFloat(e.Pressure, 'f', 2, 64)+"/"+formatMilliseconds(e.Age))
 		}
 	}
 	if k := n.answers.Add(1); k < costFirst || k%costEvery == 0 {
@@ -119,7 +128,7 @@
 		}
 	}
 	return strings.Join([]string{
-		strconv.Itoa(int(r.code)), formatMilliseconds(r.took), formatMilliseconds(r.retryIn), load, intensity,
+		strconv.Itoa(int(r.code)), formatMilliseconds(r.took), formatMilliseconds(r.retryIn), load, pressure,
 		strconv.Itoa(int(r.origin)), excused, strings.Join(board, ","), strings.Join(cost, ","),
 	}, ";")
 }
@@ -139,10 +148,8 @@
 	r.code, r.took, r.retryIn, r.origin = crcode.Code(code), took, retry, origin(from)
 	r.excused = f[answerExcused] != ""
 	if f[answerLoad] != "" {
-		r.load = &crrouter.Feedback{}
-		_, err = fmt.Sscanf(f[answerLoad], "%d,%d,%d", &r.load.InFlight, &r.load.Limit, &r.load.Queued)
-		if err == nil {
-			r.intensity, err = strconv.ParseFloat(f[answerIntensity], 64)
+		if r.load, err = parseLoad(f[answerLoad]); err == nil {
+			r.pressure, err = strconv.ParseFloat(f[answerPressure], 64)
 		}
 	}
 	if err == nil {
@@ -157,6 +164,20 @@
 	return nil
 }
 
+func parseLoad(text string) (*crrouter.Feedback, error) {
+	var numbers [3]int
+	rest := text
+	for i := range numbers {
+		var n string
+		var err error
+		n, rest, _ = strings.Cut(rest, ",")
+		if numbers[i], err = strconv.Atoi(n); err != nil {
+			return nil, err
+		}
+	}
+	return &crrouter.Feedback{InFlight: numbers[0], Limit: numbers[1], Queued: numbers[2]}, nil
+}
+
 // pairs splits a list of name=value.
 func pairs(list string, take func(name, value string) error) error {
 	if list == "" {
@@ -177,10 +198,13 @@
 
 func parseBoard(list string) (out []crshed.Entry, err error) {
 	err = pairs(list, func(name, value string) error {
+		pressure, age, _ := strings.Cut(value, "/")
 		e := crshed.Entry{Service: name}
-		var age int64
-		_, err := fmt.Sscanf(value, "%f/%d", &e.Intensity, &age)
-		e.Age = time.Duration(age) * time.Millisecond
+		var ok bool
+		if e.Age, ok = milliseconds(age); !ok {
+			return crcode.New(crcode.MalformedMessage, "age %q", age)
+		}
+		e.Pressure, err = strconv.ParseFloat(pressure, 64)
 		out = append(out, e)
 		return err
 	})
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -18,10 +18,6 @@
 	bindingCost = 0.005
 	// costSmoothing is the weight of what one answer tells of a route's cost; servers tell means already.
 	costSmoothing = 0.2
-	// retryBase and retryPerIntensity make the hint of a request that is turned away: an intensity falls by about a third
-	// in a second once demand has gone.
-	retryBase         = 300 * time.Millisecond
-	retryPerIntensity = 1500 * time.Millisecond
 )
 
 // routeCosts is what the answers told of the costs of routes.
@@ -60,10 +56,10 @@
 // learn takes what an answer tells of the load below.
 func (n *Node) learn(now time.Time, node string, c *call, r *reply) {
 	if r.load != nil {
-		n.board.Heard(now, c.service, node, r.intensity, r.load.InFlight+r.load.Queued)
+		n.board.Heard(now, c.service, node, r.pressure, r.load.InFlight+r.load.Queued)
 	}
 	for _, e := range r.board {
-		n.board.Passed(now, e.Service, e.Intensity, e.Age)
+		n.board.Passed(now, e.Service, e.Pressure, e.Age)
 	}
 	n.origins.learn(c.route, r.origin)
 	if r.cost != nil {
@@ -71,11 +67,13 @@
 	}
 }
 
-// binding returns the service that turns most of a route's work away, of those that its requests use.
-func (n *Node) binding(now time.Time, route *crroute.Route, service string) (string, float64) {
-	best, intensity := service, 0.0
+// shareOf returns the part of a route's requests that is let in, with the service that binds it and the pressure there. The
+// request that asks counts as offered to all services that it uses.
+func (n *Node) shareOf(now time.Time, route *crroute.Route, own string) (share float64, service string, pressure float64) {
+	share, service = 1, own
 	costs := n.costs.of(route.Name)
-	if costs == nil {
+	known := costs != nil
+	if !known {
 		// Until its cost is known a route is held to use every service.
 		costs = n.services.everything()
 	}
@@ -83,15 +81,19 @@
 		if seconds < bindingCost {
 			continue
 		}
-		if v := n.board.Intensity(now, s); v >= intensity {
-			best, intensity = s, v
+		if known {
+			n.shares.Offer(now, s, route.Priority, time.Duration(seconds*float64(time.Second)))
+		}
+		p := n.board.Pressure(now, s)
+		if v := n.shares.Share(now, s, route.Priority, p); v < share {
+			share, service, pressure = v, s, p
 		}
 	}
-	return best, intensity
+	return share, service, pressure
 }
 
-// admit decides at the entrance whether a request is let in; one without time left is not. Calls of work that runs always are, and requests of routes
-// that are not known to be clients' might be such calls.
+// admit decides at the entrance whether a request is let in; one without time left is not. Calls of work that runs always
+// are, and requests of routes that are not known to be clients' might be such calls.
 func (n *Node) admit(now time.Time, c *call, route *crroute.Route) *reply {
 	if !now.Before(c.deadline) {
 		return refuse(crcode.DeadlineExpired, "")
@@ -99,14 +101,14 @@
 	if c.origin != originClients {
 		return nil
 	}
-	service, intensity := n.binding(now, route, c.service)
-	if n.shares.Admit(now, route.Name, service, route.Priority, intensity) {
+	share, service, pressure := n.shareOf(now, route, c.service)
+	if n.shares.Admit(route.Name, share) {
 		return nil
 	}
 	n.Counters.Add("shed", 1)
 	n.Log.Emit(now, crevent.Failure, crevent.Rejected, crevent.KeyID, c.id, crevent.KeyRoute, c.route, crevent.KeyService, service,
-		crevent.KeyPriority, route.Priority, crevent.KeyShare, intensity, crevent.KeyReason, "shed")
-	return &reply{code: crcode.Overloaded, detail: "shed", retryIn: retryBase + time.Duration(intensity*float64(retryPerIntensity))}
+		crevent.KeyPriority, route.Priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, "shed")
+	return refuse(crcode.Overloaded, "shed")
 }
 
 // callFailedSince reports whether a call of the backend server has failed since the time.
--- a/internal/crforward/regulate.go
+++ b/internal/crforward/regulate.go
@@ -9,23 +9,23 @@
 
 // Figures of the lines that tell of the regulation.
 const (
-	// shareStep is the change of the intensity that is told, and shareEvery the least time between two lines.
-	shareStep  = 0.1
-	shareEvery = time.Second
+	// pressureStep is the change of the pressure that is told, and pressureEvery the least time between two lines.
+	pressureStep  = 0.2
+	pressureEvery = time.Second
 )
 
 // step steps the regulator.
 func (g *gate) step(now time.Time) {
 	g.regulator.Tick(now)
-	intensity := g.regulator.Intensity()
-	if math.Abs(intensity-g.told) < shareStep || now.Sub(g.toldAt) < shareEvery {
+	pressure := g.regulator.Pressure()
+	if math.Abs(pressure-g.told) < pressureStep || now.Sub(g.toldAt) < pressureEvery {
 		return
 	}
-	g.told, g.toldAt = intensity, now
+	g.told, g.toldAt = pressure, now
 	l := g.load()
 	if l == nil {
 		return
 	}
-	g.node.Log.Emit(now, crevent.State, crevent.ShareChanged, crevent.KeyService, g.node.Settings.Service, crevent.KeyShare, intensity,
+	g.node.Log.Emit(now, crevent.State, crevent.PressureChanged, crevent.KeyService, g.node.Settings.Service, crevent.KeyPressure, pressure,
 		crevent.KeyDetail, g.regulator.Demand(), crevent.KeyRunning, l.InFlight, crevent.KeyQueue, l.Queued, crevent.KeySlots, l.Limit)
 }
--- a/internal/crreplay/crreplay.go
+++ b/internal/crreplay/crreplay.go
@@ -55,7 +55,9 @@
 	Target   duration `toml:"target"`
 	Timeout  duration `toml:"timeout"`
 	Patience duration `toml:"patience"`
-	Calls    []Call   `toml:"calls"`
+	// Repeat tells that clients send a request that failed once more, not only one that was refused.
+	Repeat bool   `toml:"repeat"`
+	Calls  []Call `toml:"calls"`
 }
 
 // Call is what a run of a kind calls.
@@ -73,9 +75,13 @@
 	Rate float64 `toml:"rate"`
 	// Abuse is the share of clients that come back at once, up to three times, whatever they are told.
 	Abuse float64 `toml:"abuse"`
-	// Slow multiplies the work of Service.
+	// Slow multiplies the work of Service; Refuse is the share of runs that its servers refuse at once.
 	Service string  `toml:"service"`
 	Slow    float64 `toml:"slow"`
+	Refuse  float64 `toml:"refuse"`
+	// Leave is how many of the servers of Service take no new work; the callers' directory tells so after Notice.
+	Leave  int      `toml:"leave"`
+	Notice duration `toml:"notice"`
 }
 
 type duration time.Duration
@@ -126,6 +132,11 @@
 			}
 		}
 	}
+	for _, p := range l.Phases {
+		if (p.Slow > 0 || p.Refuse > 0 || p.Leave > 0) && !services[p.Service] {
+			return bad("a phase needs a known service, not %q", p.Service)
+		}
+	}
 	switch {
 	case l.Nodes < 1 || l.Length <= 0 || len(l.Kinds) == 0:
 		return bad("nodes, length and kinds are needed")
--- a/internal/crreplay/crreplay_test.go
+++ b/internal/crreplay/crreplay_test.go
@@ -86,3 +86,28 @@
 	qt.Assert(t, record >= price-0.05, qt.IsTrue)
 	qt.Assert(t, price >= 0.9, qt.IsTrue, qt.Commentf("%.2f of the direct requests, which fit into the slots with the records", price))
 }
+
+// TestHalved replays the loss of half of the servers of the service at the end of the chains, under demand of which the most
+// important kind alone asks for more than the slots that are left. It guards against chains that are let in and die midway,
+// and against an order of the kinds that is lost on the way.
+func TestHalved(t *testing.T) {
+	l := read(t, "halved_bottleneck.toml")
+	x := l.Run(1)
+	t.Logf("\n%s", x)
+	book, fault, history := x.Row("book"), x.Row("fault"), x.Row("history")
+	qt.Assert(t, float64(book.Failed) <= 0.05*float64(book.Asked), qt.IsTrue, qt.Commentf("%d of %d chains died midway", book.Failed, book.Asked))
+	qt.Assert(t, served(book) >= served(fault)-0.05, qt.IsTrue)
+	qt.Assert(t, served(fault) >= served(history)-0.05, qt.IsTrue)
+}
+
+// TestWide replays a small service behind two hundred entrances with few requests each. It guards against entrances that
+// learn too little of their mix of requests, or too late of the pressure, to turn away the right ones.
+func TestWide(t *testing.T) {
+	l := read(t, "wide_bottleneck.toml")
+	x := l.Run(1)
+	t.Logf("\n%s", x)
+	record, price, look := x.Row("record"), x.Row("price"), x.Row("look")
+	qt.Assert(t, x.Worth() >= 0.9*x.Possible, qt.IsTrue, qt.Commentf("%.3f of %.3f", x.Worth(), x.Possible))
+	qt.Assert(t, served(record) >= served(price)-0.05, qt.IsTrue)
+	qt.Assert(t, served(price) >= served(look)-0.05, qt.IsTrue)
+}
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
 )
@@ -17,15 +18,45 @@
 		return r
 	}
 	r = &crrouter.Router{Rand: m.rnd}
-	var list []crrouter.Server
-	for _, s := range m.servers[service] {
-		list = append(list, crrouter.Server{ID: s.id, Slots: s.service.Slots})
-	}
-	r.Update(m.clock(), list)
+	r.Update(m.clock(), m.known(service))
 	n.routers[service] = r
+	n.retries[service] = &crbudget.Ratio{PerSuccess: retryRatio, PerSecond: 1e-6, Burst: 1}
 	return r
 }
 
+// Bounds of the sends of one request, as nodes have them.
+const (
+	// maxPlaces is how many gates are asked; retryRatio is the part of the requests to a service that may reach a second
+	// server.
+	maxPlaces  = 4
+	retryRatio = 0.05
+)
+
+// outcome tells how one send ended.
+type outcome int
+
+const (
+	answered outcome = iota
+	failed
+	// refused means that the gate did not take the work, leaving that its server leaves, rejected that the server itself
+	// did not take it.
+	refused
+	leaving
+	rejected
+)
+
+func (o outcome) kind() crrouter.Kind {
+	switch o {
+	case answered:
+		return crrouter.OK
+	case refused:
+		return crrouter.Refused
+	case leaving:
+		return crrouter.Leaving
+	}
+	return crrouter.Failed
+}
+
 // send places work on a server, and on another one when the first gate refuses.
 func (m *model) send(w *work, tried []string) {
 	r := m.router(w.node, w.kind.Service)
@@ -37,56 +68,68 @@
 	i := slices.IndexFunc(m.servers[w.kind.Service], func(s *server) bool { return s.id == picked.ID })
 	s := m.servers[w.kind.Service][i]
 	sent := m.now
-	answer := func(good, refused bool) {
+	if len(tried) == 0 {
+		w.node.retries[w.kind.Service].Succeeded()
+	}
+	answer := func(o outcome) {
 		told := s.tell(m.clock())
 		m.after(time.Duration(m.load.Hop), func() {
 			told.reach(m.clock(), w.node)
-			r.Done(m.clock(), s.id, crrouter.Result{Kind: endOf(good, refused), Latency: m.now - sent, Feedback: told.load})
-			if refused && len(tried) < 1 && m.now < w.deadline {
+			r.Done(m.clock(), s.id, crrouter.Result{Kind: o.kind(), Latency: m.now - sent, Feedback: told.load})
+			if m.again(w, o, len(tried)+1) {
 				m.send(w, append(tried, s.id))
 				return
 			}
-			w.done(good, refused)
+			w.done(o == answered, o > failed)
 		})
 	}
 	m.after(time.Duration(m.load.Hop), func() { m.arrive(s, w, answer) })
 }
 
-func endOf(good, refused bool) crrouter.Kind {
-	switch {
-	case good:
-		return crrouter.OK
-	case refused:
-		return crrouter.Refused
+// again decides whether work goes to a further gate; what a server rejected draws on the budget of repeats.
+func (m *model) again(w *work, o outcome, sends int) bool {
+	if o <= failed || sends >= maxPlaces || m.now >= w.deadline {
+		return false
 	}
-	return crrouter.Failed
+	return o != rejected || sends < 2 && w.node.retries[w.kind.Service].Allow(m.clock())
 }
 
 // told is what an answer carries of the load.
 type told struct {
 	service, server string
-	intensity       float64
+	pressure        float64
 	entries         []crshed.Entry
 	load            *crrouter.Feedback
 }
 
 func (s *server) tell(now time.Time) told {
 	return told{
-		s.service.Name, s.id, s.regulator.Intensity(), s.node.board.Entries(now, 4),
+		s.service.Name, s.id, s.regulator.Pressure(), s.node.board.Entries(now, 4),
 		&crrouter.Feedback{InFlight: s.running, Limit: s.service.Slots, Queued: s.queue.Len()},
 	}
 }
 
 // reach stores what was told at the node that gets the answer.
 func (t *told) reach(now time.Time, n *node) {
-	n.board.Heard(now, t.service, t.server, t.intensity, t.load.InFlight+t.load.Queued)
+	n.board.Heard(now, t.service, t.server, t.pressure, t.load.InFlight+t.load.Queued)
 	for _, e := range t.entries {
 		if e.Service != t.service {
-			n.board.Passed(now, e.Service, e.Intensity, e.Age)
+			n.board.Passed(now, e.Service, e.Pressure, e.Age)
 		}
 	}
 }
 
+// rejects draws whether the server itself refuses a run.
+func (m *model) rejects(s *server) bool {
+	share := 0.0
+	m.phase(func(p Phase) {
+		if p.Service == s.service.Name {
+			share = max(share, p.Refuse)
+		}
+	})
+	return share > 0 && m.rnd.Float64() < share
+}
+
 // expected returns the time of a run on a server without its calls.
 func (m *model) expected(s *server, k *Kind) time.Duration {
 	slow := 1.0
@@ -99,13 +142,30 @@
 }
 
 // arrive is the gate.
-func (m *model) arrive(s *server, w *work, answer func(good, refused bool)) {
+func (m *model) arrive(s *server, w *work, answer func(outcome)) {
+	if s.left {
+		answer(leaving)
+		return
+	}
+	need := m.expected(s, w.kind)
+	if !w.counted {
+		w.counted = true
+		s.regulator.Arrived(need, w.node.shares.Passed(m.clock(), s.service.Name, w.node.board.Pressure(m.clock(), s.service.Name)))
+	}
 	run := func() {
+		if m.rejects(s) {
+			answer(rejected)
+			return
+		}
 		s.running++
 		m.occupied(s)
 		m.run(s, w, func(good bool) {
 			s.running--
-			answer(good, false)
+			if good {
+				answer(answered)
+			} else {
+				answer(failed)
+			}
 			m.grant(s)
 			m.occupied(s)
 		})
@@ -114,12 +174,10 @@
 		run()
 		return
 	}
-	need := m.expected(s, w.kind)
 	rank, due := s.ranks.Rank(m.clock(), w.sender(), uint32(1000-w.kind.Priority)), epoch.Add(w.due-need)
 	ahead := time.Duration(float64(need) * float64(s.queue.Ahead(rank, due)+1) / float64(s.service.Slots))
 	if m.now+ahead+need > w.deadline {
-		s.regulator.Refused(need)
-		answer(false, true)
+		answer(refused)
 		return
 	}
 	it := &cradmission.Item{Priority: rank, Due: due, Deadline: epoch.Add(w.deadline - need)}
@@ -128,16 +186,14 @@
 			run()
 			return
 		}
-		answer(false, true)
+		answer(refused)
 	}
 	if refused := s.queue.Push(m.clock(), it); refused != nil {
-		s.regulator.Refused(need)
 		refused.Value.(func(bool))(false)
 	}
 	m.after(w.deadline-need-m.now, func() {
 		if s.queue.Remove(it) {
-			s.regulator.Refused(need)
-			answer(false, true)
+			answer(refused)
 		}
 	})
 	m.occupied(s)
--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -49,6 +49,8 @@
 	Unreachable
 	// Cancelled means that the caller gave up.
 	Cancelled
+	// Leaving means that the server takes no new work any more, whatever else is told about it.
+	Leaving
 )
 
 // Result is the end of a call. Latency excludes waiting in the gate's queue when the gate reports its service time.
@@ -109,6 +111,9 @@
 		if len(req.Tried) > 0 && slices.Contains(req.Tried, s.ID) {
 			continue
 		}
+		if now.Before(s.away) {
+			continue
+		}
 		if !s.admits(now, req.Priority) {
 			refusing = true
 			continue
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -34,6 +34,9 @@
 	// An ejection lasts ejectBase, doubled each time up to ejectMax; a recovered server is back within 2 s.
 	ejectBase = 500 * time.Millisecond
 	ejectMax  = 1600 * time.Millisecond
+	// leaving is how long a server that says that it leaves gets no work; the directory tells the same or a new start of the
+	// server before, unless the control instances cannot be reached.
+	leaving = 3 * time.Second
 	// probesToReturn is the number of good probes in a row that end an ejection.
 	probesToReturn = 3
 	// forget is the time in use after which former ejections no longer count.
@@ -63,6 +66,9 @@
 	probing   bool
 	probeOK   int
 
+	// away is until when a server that said that it leaves gets no work.
+	away time.Time
+
 	probeStart time.Time
 	older      int // calls in flight that began before the ejection
 }
@@ -128,6 +134,12 @@
 		probe = false
 	}
 	switch res.Kind {
+	case Leaving:
+		s.away = now.Add(leaving)
+		if probe {
+			s.probing = false
+		}
+		return
 	case Refused, Cancelled:
 		if probe {
 			s.probing = false
