crshed: no request is turned away for an error of rounding; all places may be asked for

Change: a share of one or more lets all in, sums are compared with a margin; the target of a gate is all of its places. Measured: TestRoom fails before.

--- a/pkg/crshed/regulator.go
+++ b/pkg/crshed/regulator.go
@@ -8,9 +8,9 @@
 
 // Figures of the regulation.
 const (
-	// DefaultTarget is the part of a server's slots that may be asked for. The limit of a gate leaves a few slots of the server
-	// free besides, and a queue of a few calls costs less than slots without work.
-	DefaultTarget = 0.95
+	// DefaultTarget is the part of a gate's places that may be asked for: a queue of a few calls costs less than places without
+	// work. A gate has fewer places than its server has slots.
+	DefaultTarget = 1.0
 	// TickInterval is the time between steps of a regulator.
 	TickInterval = 100 * time.Millisecond
 	// offeredFor is the time constant with which the offered work follows what is measured: a few steps, since a single one
--- a/pkg/crshed/shares.go
+++ b/pkg/crshed/shares.go
@@ -20,6 +20,8 @@
 	// cheaper is how many times less a priority takes of a service, for each request, than the one above it to lose no more
 	// of its requests than that: turning it away first would cost many callers and free little.
 	cheaper = 2.0
+	// roundingError is above what sums of shares are off by.
+	roundingError = 1e-9
 	// forgotten is the number of requests, faded, below which a priority no longer counts as present.
 	forgotten = 0.05
 )
@@ -34,6 +36,9 @@
 // Allot returns the part of each class that is let in when the part share of all offered work can be done. The classes are
 // in order, the most important first; a class never gets a smaller part than one behind it.
 func Allot(classes []Class, share float64) []float64 {
+	if share >= 1 {
+		return slices.Repeat([]float64{1}, len(classes))
+	}
 	left := 0.0
 	for _, c := range classes {
 		left += share * c.Offered
@@ -197,7 +202,7 @@
 		s.credit[route] = 1 - share
 	}
 	s.credit[route] += share
-	if s.credit[route] < 1 {
+	if s.credit[route] < 1-roundingError {
 		return false
 	}
 	s.credit[route]--
