crdial, crlog, crcoord, crforward: served again sooner after a loss of power

The kernel sends an unanswered opening packet again only after 1 s; the lease of a leader whose disk was lost was waited out; nodes without a document paused 0.3 s between rounds; servers whose calls failed while the origin of their route was not yet learned again were ejected though healthy. Change: internal/crdial sends a new opening packet each 250 ms; crlog.Node.Gone ends a lease granted to a member whose storage is lost, told by crcoord, which says hello each 150 ms while there is no leader; a node without a document pauses 0.1 s; failed calls count as such while a route's origin is unknown.

--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -211,3 +211,40 @@
 	qt.Assert(t, newest(t, fresh), qt.Equals, uint64(5))
 	put(t, fresh, 6, 5)
 }
+
+// TestLeaderLosesDisk guards against a core that waits out the lease of a leader whose disk is lost while all lost their
+// power: a process without the log answers at its address, so it cannot lead any more.
+func TestLeaderLosesDisk(t *testing.T) {
+	c, at := newCore(t, 3)
+	procs := map[string]*crcoord.Coordinator{}
+	for i, a := range at {
+		procs[a] = c.start(a, strconv.Itoa(i), true)
+	}
+	put(t, procs[at[0]], 5, 0)
+	leader := ""
+	for _, a := range at {
+		if procs[a].Leads() {
+			leader = a
+		}
+	}
+	qt.Assert(t, leader, qt.Not(qt.Equals), "")
+	// The leader does not hand over: it is the last to stop, and the others know it as their leader until then.
+	for _, a := range at {
+		if a != leader {
+			c.stop(a)
+		}
+	}
+	c.stop(leader)
+	begin := time.Now()
+	var others []*crcoord.Coordinator
+	for i, a := range at {
+		if a == leader {
+			c.start(a, "wiped", false)
+			continue
+		}
+		others = append(others, c.start(a, strconv.Itoa(i), false))
+	}
+	eventually(t, func() bool { return others[0].Leads() || others[1].Leads() })
+	qt.Assert(t, time.Since(begin) < 900*time.Millisecond, qt.IsTrue, qt.Commentf("elected after %v, the lease is 1 s", time.Since(begin)))
+	qt.Assert(t, newest(t, others[0]), qt.Equals, uint64(5))
+}
--- a/internal/crcoord/presence.go
+++ b/internal/crcoord/presence.go
@@ -7,14 +7,17 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crpause"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crquorum"
 )
 
 // Times of the exchange between coordinators.
 const (
-	// helloInterval is the time between messages to each known coordinator; a lost one is noticed after three.
-	helloInterval = 500 * time.Millisecond
+	// helloInterval is the time between messages to each known coordinator; a lost one is noticed after three. Without a leader
+	// searchInterval takes its place: a leader that lost its disk must be known before the others stand for election.
+	helloInterval  = 500 * time.Millisecond
+	searchInterval = 150 * time.Millisecond
 	// helloTimeout bounds one message; it is below the time after which a candidate counts as gone.
 	helloTimeout = time.Second
 	// forgetAfter is how long a silent coordinator that is no member is still called; it covers a long cut.
@@ -176,8 +179,6 @@
 
 // presenceLoop tells the other coordinators of this one and follows their directories.
 func (c *Coordinator) presenceLoop(ctx context.Context) {
-	tick := time.NewTicker(helloInterval)
-	defer tick.Stop()
 	for ctx.Err() == nil {
 		for _, a := range c.peers.due(time.Now(), c.memberAddresses()) {
 			c.wg.Go(func() { c.hello(ctx, a) })
@@ -185,10 +186,12 @@
 		for a, follow := range c.peers.unfollowed(ctx) {
 			c.wg.Go(func() { c.directory.Follow(follow, a) })
 		}
-		select {
-		case <-ctx.Done():
-		case <-tick.C:
+		interval := helloInterval
+		if !c.confirmed() {
+			interval = searchInterval
 		}
+		// The loop looks at ctx itself.
+		_ = crpause.For(ctx, interval)
 	}
 }
 
@@ -212,14 +215,29 @@
 	c.peers.learnView(view)
 }
 
-func (c *Coordinator) handleHello(_ context.Context, from *crwire.Session, h *crwire.CoreHello) (*crwire.CoreView, error) {
+func (c *Coordinator) handleHello(ctx context.Context, from *crwire.Session, h *crwire.CoreHello) (*crwire.CoreView, error) {
 	now := time.Now()
 	if from.Peer().Role == crwire.RoleControl && h.GetId() != 0 {
 		c.peers.heard(now, h)
+		if err := c.buryAt(ctx, h); err != nil {
+			return nil, err
+		}
 	}
 	return c.view(now), nil
 }
 
+// buryAt tells the log of members whose storage is lost: a process without it answers at their address.
+func (c *Coordinator) buryAt(ctx context.Context, h *crwire.CoreHello) error {
+	for _, m := range c.replica.Status().Members {
+		if m.Address == h.GetAddress() && m.ID != h.GetId() {
+			if err := c.replica.MemberGone(ctx, m.ID); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // view is what this coordinator tells of the core.
 func (c *Coordinator) view(now time.Time) *crwire.CoreView {
 	s := c.replica.Status()
--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/citronramp/citronramp/internal/crdial"
 )
 
 // Defaults of a client.
@@ -152,11 +154,11 @@
 		}
 		_ = cn.Close()
 	}
-	d := net.Dialer{Timeout: c.DialTimeout, KeepAliveConfig: Probes, Control: control}
-	if d.Timeout == 0 {
-		d.Timeout = defaultDialTimeout
+	limit := c.DialTimeout
+	if limit == 0 {
+		limit = defaultDialTimeout
 	}
-	nc, err := d.DialContext(ctx, "tcp", c.Address)
+	nc, err := crdial.TCP(ctx, &net.Dialer{KeepAliveConfig: Probes, Control: control}, c.Address, limit)
 	if err != nil {
 		return nil, notSent(err)
 	}
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -133,19 +133,24 @@
 	n.writeFailure(w, c, r, retryIn)
 }
 
-// watched places a call and counts it with the calls of the server that makes it.
+// watched places a call and counts it with the calls of the server that makes it. While it is not known who sends the
+// requests of its route, a failure may be that of such a call.
 func (n *Node) watched(ctx context.Context, c *call, route *crroute.Route) (*reply, int) {
-	if c.origin != originServers {
+	if c.origin == originClients {
 		return n.place(ctx, c, route)
 	}
 	start := time.Now()
-	n.ledger.CallStarted(c.route)
+	if c.origin == originServers {
+		n.ledger.CallStarted(c.route)
+	}
 	r, tries := n.place(ctx, c, route)
 	good := r.code == crcode.OK && r.status < 500
 	if !good {
 		n.callFailed.Store(time.Now().UnixNano())
 	}
-	n.ledger.CallEnded(c.route, time.Since(start), good, n.costs.of(c.route))
+	if c.origin == originServers {
+		n.ledger.CallEnded(c.route, time.Since(start), good, n.costs.of(c.route))
+	}
 	return r, tries
 }
 
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -28,8 +28,9 @@
 	// leaderlessFor is how long a coordinator that is no longer confirmed is kept before another is sought: an election
 	// takes up to 0.3 s from the end of the lease, and some round trips.
 	leaderlessFor = 700 * time.Millisecond
-	// roundPause is the mean wait after all known coordinators failed.
+	// roundPause is the mean wait after all known coordinators failed, firstPause that of a node that cannot serve yet.
 	roundPause = 300 * time.Millisecond
+	firstPause = 100 * time.Millisecond
 	// failedLately is how long a coordinator that was lost is tried after the others.
 	failedLately = 5 * time.Second
 	// unconfirmedAfter is how long a node looks for a confirmed feed before it takes documents from one without a leader.
@@ -175,8 +176,12 @@
 			}
 			n.follower.drop(time.Now(), c.address, t)
 		}
+		pause := t.pause
+		if n.table.Load() == nil {
+			pause = firstPause
+		}
 		// The loop looks at ctx itself.
-		_ = crpause.For(ctx, t.pause/2+jitter(t.pause))
+		_ = crpause.For(ctx, pause/2+jitter(pause))
 	}
 }
 
--- a/internal/crreplica/command.go
+++ b/internal/crreplica/command.go
@@ -19,6 +19,7 @@
 	replaceMember
 	transferLeadership
 	read
+	memberGone
 )
 
 // command is one call; either its caller gives it up or the log goroutine takes it, never both.
@@ -113,6 +114,12 @@
 	return r.call(ctx, &command{kind: transferLeadership, id: id}, crcode.CommandUnknown).err
 }
 
+// MemberGone tells that the process of a member has ended for good and its storage is lost; a lease that it held is not
+// waited out.
+func (r *Replica) MemberGone(ctx context.Context, id uint64) error {
+	return r.call(ctx, &command{kind: memberGone, id: id}, crcode.CommandUnknown).err
+}
+
 // command starts a call in the log goroutine.
 func (r *Replica) command(now time.Time, c *command) {
 	if !c.take() {
@@ -129,6 +136,10 @@
 	case transferLeadership:
 		r.startTransfer(now, c)
 		return
+	case memberGone:
+		r.node.Gone(now, c.id)
+		c.finish(nil)
+		return
 	}
 	if r.transfer != nil {
 		c.finish(crcode.New(crcode.NoLeader, "leadership is being handed over"))
--- a/internal/crwire/endpoint.go
+++ b/internal/crwire/endpoint.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/citronramp/citronramp/internal/crdial"
 	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
@@ -153,7 +154,7 @@
 }
 
 func (e *Endpoint) connect(addr string) (*Session, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	conn, err := crdial.TCP(context.Background(), &net.Dialer{}, addr, dialTimeout)
 	if err != nil {
 		return nil, crcode.New(crcode.NoServer, "%v", err)
 	}
--- a/pkg/crlog/crlog_test.go
+++ b/pkg/crlog/crlog_test.go
@@ -25,7 +25,7 @@
 var faults = []string{
 	"time", "time", "time", "flow", "flow", "flow", "flow", "pick", "pick", "copy", "lose", "propose", "propose",
 	"propose", "read", "read", "cut", "heal", "heal", "crash", "tear", "start", "start", "transfer", "replace", "pause", "unlink", "unlink",
-	"blackout",
+	"blackout", "gone",
 }
 
 func (w *world) fault(op string, k int) {
@@ -36,6 +36,8 @@
 		w.tick(time.Duration(k%60) * time.Millisecond)
 	case "blackout":
 		w.blackout()
+	case "gone":
+		w.gone()
 	case "pause":
 		w.tick(time.Duration(k%1200) * time.Millisecond)
 	case "flow":
@@ -245,6 +247,53 @@
 	}
 }
 
+// Guards against a core that waits out the lease of a leader whose disk is lost, after a loss of power everywhere, although
+// a new process answers in its place.
+func TestElectionAfterLostLeader(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 3)
+		w.settleFor(2 * time.Second)
+		old := w.leader()
+		old.down, old.rate = true, 0
+		w.blackout()
+		w.settleFor(100 * time.Millisecond)
+		c.Assert(w.leader(), qt.IsNil)
+		w.gone()
+		w.settleFor(400 * time.Millisecond)
+		c.Assert(w.leader(), qt.IsNotNil)
+		_, _, ok := w.propose([]byte("x"))
+		c.Assert(ok, qt.IsTrue)
+	}
+}
+
+// Guards against a lease that is dropped for the loss of a member that does not hold it.
+func TestGoneBystander(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 1, 3)
+	w.settleFor(2 * time.Second)
+	leader := w.leader()
+	for _, id := range w.ids() {
+		s := w.sims[id]
+		for _, other := range w.ids() {
+			if other != leader.id {
+				s.node.Gone(w.now(s), other)
+			}
+		}
+		s.node.Gone(w.now(s), s.id)
+	}
+	for _, id := range w.ids() {
+		if s := w.sims[id]; s != leader {
+			w.queue = nil
+			s.node.Step(w.now(s), crlog.Message{Kind: crlog.PreVoteRequest, From: 6 - s.id - leader.id, FromAddress: addr(6 - s.id - leader.id), To: s.id, Term: 99})
+			w.run(s)
+			c.Assert(w.queue[len(w.queue)-1].Reject, qt.IsTrue)
+		}
+	}
+	w.settleFor(time.Second)
+	c.Assert(w.leader(), qt.Equals, leader)
+}
+
 // Guards against a member that forgets across a restart which leader it has granted a lease, and helps another one.
 func TestLeaseAcrossRestart(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -92,6 +92,21 @@
 	return n.hard.Vote != candidate && now.Before(n.heard.Add(n.cfg.Lease))
 }
 
+// Gone tells that the process of a member has ended for good and its storage is lost: another process without that storage
+// answers at its address. The member cannot lead any more, so a lease that was granted to it binds nobody.
+func (n *Node) Gone(now time.Time, id uint64) {
+	if n.role == Leader || id == n.cfg.ID || id == 0 || n.hard.Vote != id {
+		return
+	}
+	n.heard, n.assured = time.Time{}, time.Time{}
+	if n.leader == id {
+		n.leader, n.leaderAddr = 0, ""
+	}
+	if soon := now.Add(n.jitter(n.cfg.Heartbeat)); soon.Before(n.deadline) {
+		n.deadline = soon
+	}
+}
+
 func (n *Node) stepPreVote(now time.Time, m Message) {
 	ok := m.Term > n.hard.Term && !n.leaseBinds(now, m.From) && n.log.upToDate(m.Index, m.LogTerm)
 	r := Message{Kind: PreVoteResponse, To: m.From, Address: m.FromAddress, Reject: !ok}
--- a/pkg/crlog/world_test.go
+++ b/pkg/crlog/world_test.go
@@ -275,6 +275,19 @@
 	}
 }
 
+// gone tells every member that runs of those whose disks are lost.
+func (w *world) gone() {
+	for _, id := range w.ids() {
+		s := w.sims[id]
+		for _, lost := range w.ids() {
+			if !s.down && w.sims[lost].rate == 0 {
+				s.node.Gone(w.now(s), lost)
+			}
+		}
+		w.run(s)
+	}
+}
+
 // restartAll starts every member that is down and has its disk.
 func (w *world) restartAll() {
 	for _, id := range w.ids() {
