crdial: attempts are counted, so that a timeout reported early does not spin

Cause: at the end of an attempt the dialer may report a timeout a moment before the context's deadline passes; the loop then tried again at once with what little time was left, over and over. Change: as many attempts as fit into the limit, counted.

--- a/internal/crdial/crdial.go
+++ b/internal/crdial/crdial.go
@@ -19,14 +19,15 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// TCP connects to the address, with a new opening packet after each Attempt without an answer, until one is answered, the
-// context ends or a time has passed. A refusal ends it at once.
+// TCP connects to the address, with a new opening packet for each Attempt that fits into the limit, until one is answered or
+// the context ends. A refusal ends it at once.
 func TCP(ctx context.Context, o Opener, address string, limit time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for {
+	// The attempts are counted: at the end of one the dialer may report a timeout before the context does.
+	for left := limit; ; left -= Attempt {
 		c, err := once(ctx, o, address)
-		if err == nil || ctx.Err() != nil || !unanswered(err) {
+		if err == nil || left <= Attempt || ctx.Err() != nil || !unanswered(err) {
 			return c, err
 		}
 	}
--- a/internal/crdial/crdial_test.go
+++ b/internal/crdial/crdial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -67,3 +68,20 @@
 		qt.Assert(t, down.sent, qt.HasLen, 1)
 	})
 }
+
+// hasty reports a timeout at once, as a dialer does whose deadline has passed.
+type hasty struct{ calls int }
+
+func (h *hasty) DialContext(context.Context, string, string) (net.Conn, error) {
+	h.calls++
+	return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+}
+
+// TestNoSpin guards against attempts that follow each other without a pause: between the deadline of an attempt and the end
+// of its context the dialer fails at once, and a process with one processor then gets no further.
+func TestNoSpin(t *testing.T) {
+	h := &hasty{}
+	_, err := crdial.TCP(context.Background(), h, "peer", time.Second)
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
+	qt.Assert(t, h.calls, qt.Equals, 4)
+}
