crforward: a second server beside a silent one; silent servers are left

Cause: a server that goes silent kept its share of the requests until their deadlines, and for ever where callers leave before: a cancelled send told the router nothing. Ruled out: ejection after fewer failures alone: the requests that are waiting meanwhile are late all the same. Change: a repeatable request whose server is silent for two to four usual times, by what its target leaves, is sent to a second server beside it, within the budget of repeats and not while a service that it needs is pressed; the first good answer counts and the other send is cancelled. Runs without calls of their own have a larger part of that budget. A send that is cancelled after three usual times counts as timed out. Placement moves to place.go.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// endWith has a function called when what the reply holds is released, at once for one that holds nothing.
+func (r *reply) endWith(f func()) *reply {
+	if r.close == nil {
+		f()
+		return r
+	}
+	inner := r.close
+	r.close = func() {
+		inner()
+		f()
+	}
+	return r
+}
+
 // wholeBytes is the size up to which an answer is read whole before any of it is passed on, so that a broken one can be
 // replaced by an error or another server's answer; answers of usual services fit.
 const wholeBytes = 64 << 10
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -19,8 +19,6 @@
 const (
 	// defaultLeft is the time of a client that names none.
 	defaultLeft = 30 * time.Second
-	// maxPlaces is how many gates are asked; gates that refuse cost two short messages each and no server's time.
-	maxPlaces = 4
 	// topWorth is above every priority number of a route, so that a smaller number gives a higher rank.
 	topWorth = 1 << 16
 )
@@ -154,96 +152,6 @@
 	return r, tries
 }
 
-// place sends the call to one server after another until one answers or nothing more is allowed.
-func (n *Node) place(ctx context.Context, c *call, route *crroute.Route) (r *reply, tries int) {
-	s := n.services.get(c.service)
-	s.retries.Succeeded()
-	var tried []string
-	sent := 0
-	for tries = 1; ; tries++ {
-		now := time.Now()
-		server, err := s.router.Pick(now, crrouter.Request{Tried: tried, NoProbe: c.once || tries > 1})
-		if err != nil {
-			if r == nil {
-				r = refuse(crcode.Of(err), err.Error())
-			}
-			return r, tries
-		}
-		last := r
-		c.share = n.shares.Passed(now, c.service, n.board.Pressure(now, c.service))
-		r = n.send(ctx, s.address(server.ID), c)
-		c.counted = c.counted || asked(r)
-		took := time.Since(now)
-		usual := s.usually(c.route)
-		n.logChange(s, server.ID, r, s.router.Done(time.Now(), server.ID, routerResult(r, took, usual)))
-		if r.code == crcode.OK && r.status < 500 {
-			s.answered(c.route, took)
-		}
-		n.learn(time.Now(), server.ID, c, r)
-		if r.code == crcode.OK && (r.status < 500 || c.once) {
-			return r, tries
-		}
-		tried = append(tried, server.ID)
-		if reached(r) {
-			sent++
-		}
-		if !n.again(ctx, s, c, route, r, tries, sent) {
-			return worse(last, r), tries
-		}
-		r.end()
-		if !c.rewind() {
-			return r, tries
-		}
-	}
-}
-
-// reached reports whether the call arrived at a server.
-func reached(r *reply) bool {
-	return r.code == crcode.OK || r.code == crcode.ServerRefused || r.code.Outcome() != crcode.NotRun
-}
-
-// asked reports whether the gate counts the call as work that its server is asked for.
-func asked(r *reply) bool {
-	switch r.code {
-	case crcode.NoServer, crcode.StaleIncarnation, crcode.Leaving, crcode.Stopping:
-		return false
-	}
-	return true
-}
-
-// again decides whether the call is sent to a further server; it counts repeats that reach servers.
-func (n *Node) again(ctx context.Context, s *service, c *call, route *crroute.Route, r *reply, tries, sent int) bool {
-	now := time.Now()
-	switch {
-	case ctx.Err() != nil || tries >= maxPlaces || !now.Before(c.deadline):
-		return false
-	case c.length != 0 && !c.kept:
-		return false
-	case c.once && r.code.Outcome() != crcode.NotRun:
-		return false
-	case r.code == crcode.DeadlineExpired || r.code == crcode.QueueTimeout:
-		return false
-	case c.deadline.Sub(now) < s.usually(c.route):
-		return false
-	case r.excused:
-		// What failed is deeper down, and another server's calls end there as well.
-		return false
-	case sent == 0:
-		// No server has seen the call, so another gate costs no repeat.
-		return true
-	case sent >= route.MaxAttempts:
-		return false
-	}
-	if !s.retries.Allow(now) {
-		n.Counters.Add("retries_denied", 1)
-		return false
-	}
-	n.Counters.Add("retries", 1)
-	n.Log.Emit(now, crevent.Failure, crevent.SentAgain, crevent.KeyID, c.id, crevent.KeyService, c.service, crevent.KeyTry, tries,
-		crevent.KeyCode, r.code, crevent.KeyStatus, r.status, crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond))
-	return true
-}
-
 // logChange tells that a server was ejected or returned, with the last answer and the record that decided it.
 func (n *Node) logChange(s *service, server string, r *reply, c crrouter.Change) {
 	event := crevent.ServerEjected
@@ -257,50 +165,6 @@
 		crevent.KeyStatus, r.status, crevent.KeyTook, r.took.Round(time.Millisecond), crevent.KeyShare, c.Errors, crevent.KeyCount, c.Failures)
 }
 
-// worse returns the end to report after several sends: a later refusal must not hide that an earlier send may have run.
-func worse(earlier, last *reply) *reply {
-	if earlier != nil && last.code != crcode.OK && last.code.Outcome() == crcode.NotRun && earlier.code.Outcome() != crcode.NotRun {
-		return earlier
-	}
-	return last
-}
-
-// fairTime is how many times its usual time a server must have had before a time-out speaks against it; less was left
-// because earlier work of the chain was late.
-const fairTime = 3
-
-func routerResult(r *reply, took, usual time.Duration) crrouter.Result {
-	res := crrouter.Result{Latency: took, Feedback: r.load}
-	timedOut := r.code == crcode.DeadlineRunning || r.code == crcode.OK && r.status == http.StatusGatewayTimeout
-	if r.took > 0 {
-		res.Latency = r.took
-	}
-	switch {
-	case r.code == crcode.OK && r.status < 500:
-		res.Kind = crrouter.OK
-	case r.excused || timedOut && took < fairTime*usual:
-		res.Kind = crrouter.Refused
-	case timedOut:
-		res.Kind = crrouter.TimedOut
-	case r.code == crcode.OK:
-		res.Kind = crrouter.Failed
-	case r.code == crcode.Cancelled || r.code == crcode.CancelledRun:
-		res.Kind = crrouter.Cancelled
-	case r.code == crcode.NoServer || r.code == crcode.StaleIncarnation:
-		res.Kind = crrouter.Unreachable
-	case r.code == crcode.ServerRefused:
-		// The gate sends a server no more than it has slots for, so one that refuses is at fault.
-		res.Kind = crrouter.Failed
-	case r.code == crcode.Leaving || r.code == crcode.Stopping:
-		res.Kind = crrouter.Leaving
-	case r.code.Outcome() == crcode.NotRun:
-		res.Kind = crrouter.Refused
-	default:
-		res.Kind = crrouter.Failed
-	}
-	return res
-}
-
 // Bounds of the hint when to come back.
 const (
 	// retryUnconfigured is the hint of a node that has no configuration yet; one comes within a second of its start.
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -92,6 +92,20 @@
 	return share, service, pressure
 }
 
+// pressed reports whether a service that the call's route uses is asked for more than it can do: late answers are then due to
+// that, not to one server.
+func (n *Node) pressed(now time.Time, c *call) bool {
+	if n.board.Pressure(now, c.service) > 1 {
+		return true
+	}
+	for s := range n.costs.of(c.route) {
+		if n.board.Pressure(now, s) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // admit decides at the entrance whether a request is let in; one without time left is not. Calls of work that runs always
 // are, and requests of routes that are not known to be clients' might be such calls.
 func (n *Node) admit(now time.Time, c *call, route *crroute.Route) *reply {
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -18,15 +18,18 @@
 	// retryShare is the part of the allowed ratio that one level of a call chain uses: the calls of a repeated run are
 	// repeats at the services below, so the levels of a chain add up.
 	retryShare = 0.25
+	// leafShare is that part where the run makes no calls.
+	leafShare = 0.6
 	// retrySaved is how many repeats a node may save up; with one in each node all together stay within the slack.
 	retrySaved = 1
 )
 
 // service is what a node knows about one service.
 type service struct {
-	name    string
-	router  *crrouter.Router
-	retries *crbudget.Ratio
+	name   string
+	router *crrouter.Router
+	// retries pays for repeats of runs that may make calls, leafRetries for those that make none.
+	retries, leafRetries *crbudget.Ratio
 
 	mu sync.Mutex
 	// addresses are the gates by node, instances the lifetimes of the servers.
@@ -62,7 +65,7 @@
 		set := s.node.Settings
 		v = &service{
 			name: name, router: &crrouter.Router{Domain: set.Domain},
-			retries:   &crbudget.Ratio{PerSuccess: set.RetryRatio * retryShare, PerSecond: 1e-6, Burst: retrySaved},
+			retries: retryBudget(set.RetryRatio * retryShare), leafRetries: retryBudget(set.RetryRatio * leafShare),
 			addresses: map[string]string{}, instances: map[string]instance{},
 			usual: map[string]float64{},
 		}
@@ -71,6 +74,10 @@
 	return v
 }
 
+func retryBudget(ratio float64) *crbudget.Ratio {
+	return &crbudget.Ratio{PerSuccess: ratio, PerSecond: 1e-6, Burst: retrySaved}
+}
+
 // known returns the gates of all services.
 func (s *services) known() map[string]bool {
 	s.mu.Lock()
