crreplay, crexchange: two functions split, an unused field removed

Ruled out: no decision changes; the tests of both packages pass as before. Change: Phase.needsService, skipBody; server.each is gone.

--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -248,15 +248,12 @@
 			continue
 		}
 		if c.Owns != nil && !c.Owns(r.Header, hr.Header) {
-			if strays++; strays > maxStrays || hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 {
+			if strays++; strays > maxStrays {
 				return nil, ErrForeign
 			}
 			clean = false
-			switch n, err := io.CopyN(io.Discard, hr.Body, strayBytes+1); {
-			case n > strayBytes:
-				return nil, ErrForeign
-			case err != io.EOF:
-				return nil, errors.Join(ErrForeign, err)
+			if err := skipBody(hr); err != nil {
+				return nil, err
 			}
 			continue
 		}
@@ -269,6 +266,20 @@
 	}
 }
 
+// skipBody reads a stray's body to its end; one that is long, or ends only with the connection, is an error.
+func skipBody(hr *http.Response) error {
+	if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 {
+		return ErrForeign
+	}
+	switch n, err := io.CopyN(io.Discard, hr.Body, strayBytes+1); {
+	case n > strayBytes:
+		return ErrForeign
+	case err != io.EOF:
+		return errors.Join(ErrForeign, err)
+	}
+	return nil
+}
+
 // meter bounds what is read while a head is awaited.
 type meter struct {
 	net.Conn
--- a/internal/crreplay/crreplay.go
+++ b/internal/crreplay/crreplay.go
@@ -126,14 +126,12 @@
 		if !services[k.Service] || k.Work <= 0 || k.Timeout <= 0 {
 			return bad("kind %q needs a known service, work and a timeout", k.Name)
 		}
-		for _, c := range k.Calls {
-			if !kinds[c.Kind] || c.Times < 1 {
-				return bad("kind %q calls the unknown kind %q or calls it no time", k.Name, c.Kind)
-			}
+		if i := slices.IndexFunc(k.Calls, func(c Call) bool { return !kinds[c.Kind] || c.Times < 1 }); i >= 0 {
+			return bad("kind %q calls the unknown kind %q or calls it no time", k.Name, k.Calls[i].Kind)
 		}
 	}
 	for _, p := range l.Phases {
-		if (p.Slow > 0 || p.Refuse > 0 || p.Leave > 0) && !services[p.Service] {
+		if p.needsService() && !services[p.Service] {
 			return bad("a phase needs a known service, not %q", p.Service)
 		}
 	}
@@ -146,6 +144,9 @@
 	return nil
 }
 
+// needsService says whether the phase changes the servers of one service.
+func (p *Phase) needsService() bool { return p.Slow > 0 || p.Refuse > 0 || p.Leave > 0 }
+
 // The controls.
 const (
 	ControlShed = "shed"
--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -61,14 +61,12 @@
 
 // server is one server with its gate.
 type server struct {
-	id      string
-	service *Service
-	speed   float64
-	node    *node
-	running int
-	queue   cradmission.Queue
-	// each is the time of a run that is taken for those that wait.
-	each      time.Duration
+	id        string
+	service   *Service
+	speed     float64
+	node      *node
+	running   int
+	queue     cradmission.Queue
 	ranks     cradmission.Ranks
 	regulator crshed.Regulator
 	counted   time.Duration
