crcoord: only an answer to a call of one's own tells that a member's storage is lost

Cause: a member was taken for gone when any process said hello from its address under another number. A message of the process that had the address before, handled late, ended the lease granted to the present leader while that leader still trusted it: two coordinators may act. Ruled out: an upper bound on the age of a message: a paused receiver cannot know it. Change: members are read before an own hello, and the answer's number is compared with them; an earlier process cannot answer a call that began after its successor was known.

--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -212,6 +212,42 @@
 	put(t, fresh, 6, 5)
 }
 
+// TestLateHello guards against a leader that is taken for gone, while it still trusts its lease, because messages of the
+// process that had its address before come late: only an answer to a call that began after the leader was known counts.
+func TestLateHello(t *testing.T) {
+	c, at := newCore(t, 3)
+	for i, a := range at {
+		c.start(a, strconv.Itoa(i), true)
+	}
+	leader := ""
+	eventually(t, func() bool {
+		for _, a := range at {
+			if c.procs[a].Leads() && c.settledWith(3, a) {
+				leader = a
+			}
+		}
+		return leader != ""
+	})
+	e := &crwire.Endpoint{
+		Identity: crwire.Identity{Self: crwire.Peer{Name: "earlier", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{},
+	}
+	defer e.Close()
+	earlier := &crwire.CoreHello{Name: "earlier", Id: 77, Address: leader, Domain: leader}
+	for range 30 {
+		for _, a := range at {
+			if a == leader {
+				continue
+			}
+			s, err := e.Session(t.Context(), a)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = crwire.Call[crwire.CoreView](t.Context(), s, crcoord.MethodHello, earlier)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		time.Sleep(30 * time.Millisecond)
+		qt.Assert(t, c.procs[leader].Leads(), qt.IsTrue)
+	}
+}
+
 // TestLeaderLosesDisk guards against a core that waits out the lease of a leader whose disk is lost while all lost their
 // power: a process without the log answers at its address, so it cannot lead any more.
 func TestLeaderLosesDisk(t *testing.T) {
--- a/internal/crcoord/presence.go
+++ b/internal/crcoord/presence.go
@@ -9,6 +9,7 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crpause"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crlog"
 	"github.com/citronramp/citronramp/pkg/crquorum"
 )
 
@@ -204,6 +205,7 @@
 		c.Counters.Add("hello_failed", 1)
 		return
 	}
+	known := c.replica.Status().Members
 	view, err := crwire.Call[crwire.CoreView](ctx, s, MethodHello, &crwire.CoreHello{
 		Name: c.Settings.Name, Id: c.replica.ID, Address: c.Settings.Address, Domain: c.Settings.Domain,
 		Failing: c.replica.Status().LastError != nil,
@@ -213,23 +215,24 @@
 		return
 	}
 	c.peers.learnView(view)
+	if err := c.bury(ctx, known, address, view.GetId()); err != nil {
+		c.Counters.Add("hello_failed", 1)
+	}
 }
 
-func (c *Coordinator) handleHello(ctx context.Context, from *crwire.Session, h *crwire.CoreHello) (*crwire.CoreView, error) {
+func (c *Coordinator) handleHello(_ context.Context, from *crwire.Session, h *crwire.CoreHello) (*crwire.CoreView, error) {
 	now := time.Now()
 	if from.Peer().Role == crwire.RoleControl && h.GetId() != 0 {
 		c.peers.heard(now, h)
-		if err := c.buryAt(ctx, h); err != nil {
-			return nil, err
-		}
 	}
 	return c.view(now), nil
 }
 
-// buryAt tells the log of members whose storage is lost: a process without it answers at their address.
-func (c *Coordinator) buryAt(ctx context.Context, h *crwire.CoreHello) error {
-	for _, m := range c.replica.Status().Members {
-		if m.Address == h.GetAddress() && m.ID != h.GetId() {
+// bury tells the log of members whose storage is lost: a process without it answered at their address. The members are those
+// known before the call, so that a late answer of an earlier process at the address ends no present member.
+func (c *Coordinator) bury(ctx context.Context, known crlog.Members, address string, id uint64) error {
+	for _, m := range known {
+		if m.Address == address && id != 0 && m.ID != id {
 			if err := c.replica.MemberGone(ctx, m.ID); err != nil {
 				return err
 			}
