crdocument, crcoord, crforward: documents go to nodes packed

Cause: a coordinator sent each document in full, encoded anew, to each of its nodes' ties. Ruled out: a delta of common beginnings and ends (changes are spread over the document); one body for the first tie only (a lost coordinator would delay the change). Change: a document is compressed (zstd) with the document that the node holds as the dictionary, once for each version held; a lagging node gets the newest only, as before; a checksum tells a node that holds another reference, which then asks for a whole one. A node that does not ask for packed documents gets whole ones. Both ties no longer parse the same document at the same time.

--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -52,6 +52,7 @@
 
 	endpoint  *crwire.Endpoint
 	machine   *crdocument.Machine
+	shelf     crdocument.Shelf
 	replica   *crreplica.Replica
 	directory *crdirectory.Server
 	peers     peers
--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/citronramp/citronramp/internal/crcoord"
 	"github.com/citronramp/citronramp/internal/crdocument"
@@ -174,6 +178,68 @@
 	return false
 }
 
+// TestFeedOfLargeDocument guards against a configuration that goes to each of hundreds of nodes in full for each change, and
+// keeps a node of an earlier release served, which does not know packed documents.
+func TestFeedOfLargeDocument(t *testing.T) {
+	c, at := newCore(t, 1)
+	p := c.start(at[0], "0", true)
+	var text bytes.Buffer
+	for i := range 3000 {
+		fmt.Fprintf(&text, "route-%d.test /p%x/ svc-%d timeout %dms\n", i%97, i*7919, i%41, 100+i%13)
+	}
+	body := func(version uint64) []byte {
+		return fmt.Appendf(slices.Clone(text.Bytes()), "weight of svc-3 is %d", version)
+	}
+	const last = 6
+	propose := func(version uint64) {
+		d := &crwire.Document{Version: version, Base: version - 1, Body: body(version)}
+		eventually(t, func() bool {
+			v, _, err := p.Put(context.Background(), d)
+			return err == nil && (v == crdocument.Accepted || v == crdocument.Repeated)
+		})
+	}
+	propose(1)
+	size := len(body(1))
+	watch := func(packed bool) (bytesRead int, got map[uint64]string) {
+		e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: "node", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{}}
+		defer e.Close()
+		s, err := e.Session(t.Context(), at[0])
+		qt.Assert(t, err, qt.IsNil)
+		got = map[uint64]string{}
+		var held *crwire.Document
+		done := errors.New("all versions came")
+		err = crwire.Receive(t.Context(), s, crcoord.MethodWatch, &crwire.DocumentWatch{Packed: packed}, func(f *crwire.DocumentFeed) error {
+			bytesRead += proto.Size(f)
+			if d := f.GetDocument(); d != nil {
+				held = d
+			}
+			if pd := f.GetPacked(); pd != nil {
+				d, err := crdocument.Unpack(held, pd)
+				if err != nil {
+					return err
+				}
+				held = d
+			}
+			got[held.GetVersion()] = string(held.GetBody())
+			if v := held.GetVersion(); v < last {
+				propose(v + 1)
+				return nil
+			}
+			return done
+		})
+		qt.Assert(t, err, qt.Equals, done)
+		return bytesRead, got
+	}
+	n, got := watch(true)
+	for v := uint64(1); v <= last; v++ {
+		qt.Assert(t, got[v], qt.Equals, string(body(v)))
+	}
+	qt.Assert(t, n < size/2, qt.IsTrue, qt.Commentf("%d bytes for %d versions of a document of %d", n, last, size))
+	n, got = watch(false)
+	qt.Assert(t, got[last], qt.Equals, string(body(last)))
+	qt.Assert(t, n >= size, qt.IsTrue)
+}
+
 // TestNoSecondHistory guards against coordinators without disks that found a new history: all three come back empty, and
 // nothing is served rather than something older.
 func TestNoSecondHistory(t *testing.T) {
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// fill puts a document into a message for a node that has another version. Packed, one change of a large configuration costs
+// hundreds of nodes little, and its coordinator one packing.
+func (c *Coordinator) fill(feed *crwire.DocumentFeed, d *crwire.Document, have uint64, packed bool) (err error) {
+	if !packed {
+		feed.Document = d
+		return nil
+	}
+	feed.Packed, err = c.shelf.Packed(have, d)
+	return err
+}
+
 // serveFeed sends each new document to a node, and regularly and on changes whether the version is confirmed.
 func (c *Coordinator) serveFeed(ctx context.Context, _ *crwire.Session, w *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
 	have := w.GetHave()
@@ -187,7 +198,10 @@
 		st := c.standing.Load()
 		feed := &crwire.DocumentFeed{Confirmed: c.confirmed(), Version: d.GetVersion(), Voters: c.memberAddresses()}
 		if d.GetVersion() > have {
-			feed.Document, have = d, d.GetVersion()
+			if err := c.fill(feed, d, have, w.GetPacked()); err != nil {
+				return err
+			}
+			have = d.GetVersion()
 		}
 		if err := send(feed); err != nil {
 			return err
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -78,6 +78,7 @@
 	Counters       cradmin.Counters
 
 	table     atomic.Pointer[crroute.Table]
+	documents documents
 	endpoint  *crwire.Endpoint
 	directory *crdirectory.Client
 	follower  follower
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -14,7 +14,6 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crpause"
 	"github.com/citronramp/citronramp/internal/crwire"
-	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
 // discardLog drops what the HTTP servers report about single connections of clients.
@@ -212,16 +211,18 @@
 	}
 	silent := time.AfterFunc(feedSilence, cancel)
 	defer silent.Stop()
-	var have uint64
-	if t := n.table.Load(); t != nil {
-		have = t.Version()
-	}
-	var waiting *crwire.DocumentFeed
+	held := n.documents.held()
+	var waiting *crwire.Document
 	var before bool
-	err = crwire.Receive(tied, c.session, crcoord.MethodWatch, &crwire.DocumentWatch{Have: have}, func(f *crwire.DocumentFeed) error {
+	err = crwire.Receive(tied, c.session, crcoord.MethodWatch, &crwire.DocumentWatch{Have: held.GetVersion(), Packed: true}, func(f *crwire.DocumentFeed) error {
 		n.follower.learn(f.GetVoters(), nil)
-		if f.GetDocument() != nil {
-			waiting = f
+		d, err := n.documents.restore(held, f)
+		if err != nil {
+			n.unreadable(f.GetPacked().GetVersion(), err)
+			return err
+		}
+		if d != nil {
+			held, waiting = d, d
 		}
 		if waiting != nil && (f.GetConfirmed() || time.Since(lost) > unconfirmedAfter) {
 			n.take(waiting, f.GetConfirmed())
@@ -240,29 +241,6 @@
 	return confirmed, err
 }
 
-// take puts a newer document in force; an older one is never taken.
-func (n *Node) take(f *crwire.DocumentFeed, confirmed bool) {
-	d := f.GetDocument()
-	old := n.table.Load()
-	if d == nil || d.GetVersion() == 0 || old != nil && d.GetVersion() <= old.Version() {
-		return
-	}
-	t, err := n.Parse(d)
-	now := time.Now()
-	if err != nil {
-		n.Counters.Add("documents_unreadable", 1)
-		n.Log.Emit(now, crevent.State, crevent.ConfigRefused, crevent.KeyVersion, d.GetVersion(), crevent.KeyCode, crcode.Of(err), crevent.KeyError, err)
-		return
-	}
-	if !n.table.CompareAndSwap(old, t) {
-		// The other tie has put a document in force meanwhile.
-		n.take(f, confirmed)
-		return
-	}
-	n.directory.Watch(t.Services(), nil)
-	n.Log.Emit(now, crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, confirmed)
-}
-
 // announce tells the directory of this node and its backend server.
 func (n *Node) announce() {
 	e := &crwire.DirectoryEntry{
--- a/internal/crforward/ties_test.go
+++ b/internal/crforward/ties_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronramp/citronramp/internal/crcoord"
 	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crdocument"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crroute"
 )
@@ -39,6 +40,8 @@
 	view  func(c *coordinator) *crwire.CoreView
 	watch func(ctx context.Context, send func(*crwire.DocumentFeed) error) error
 	asked atomic.Int32
+	// watched is the last request for a feed.
+	watched atomic.Pointer[crwire.DocumentWatch]
 }
 
 func (c *coordinator) start(t *testing.T) {
@@ -52,7 +55,8 @@
 		c.asked.Add(1)
 		return c.view(c), nil
 	})
-	crwire.HandleStream(e.Mux, crcoord.MethodWatch, func(ctx context.Context, _ *crwire.Session, _ *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
+	crwire.HandleStream(e.Mux, crcoord.MethodWatch, func(ctx context.Context, _ *crwire.Session, w *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
+		c.watched.Store(w)
 		if err := c.watch(ctx, send); err != nil {
 			return err
 		}
@@ -164,3 +168,38 @@
 	// The 2 s less what a coordinator takes to notice that it is cut off and a search under load.
 	qt.Assert(t, time.Since(since) < 1600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
 }
+
+// TestOtherReference guards against a node that stays without new documents, or takes a wrong one, because what it holds is
+// not what its coordinator packed the next document with: it asks for a whole one.
+func TestOtherReference(t *testing.T) {
+	routes, err := json.Marshal([]crroute.Route{route("/p/", "ledger", crroute.Once)})
+	qt.Assert(t, err, qt.IsNil)
+	first := &crwire.Document{Version: 7, Body: []byte("[]")}
+	other := &crwire.Document{Version: 7, Body: routes}
+	second := &crwire.Document{Version: 8, Base: 7, Body: routes}
+	core := &coordinator{view: func(c *coordinator) *crwire.CoreView {
+		return &crwire.CoreView{Voters: []string{c.address}, Confirmed: true}
+	}}
+	sendPacked := func(send func(*crwire.DocumentFeed) error, reference, d *crwire.Document) error {
+		p, err := crdocument.Pack(reference, d)
+		if err != nil {
+			return err
+		}
+		return send(&crwire.DocumentFeed{Version: d.Version, Confirmed: true, Packed: p})
+	}
+	var feeds atomic.Int32
+	core.watch = func(_ context.Context, send func(*crwire.DocumentFeed) error) error {
+		if feeds.Add(1) > 1 && core.watched.Load().GetHave() == 0 {
+			return sendPacked(send, nil, second)
+		}
+		if err := sendPacked(send, nil, first); err != nil {
+			return err
+		}
+		return sendPacked(send, other, second)
+	}
+	core.start(t)
+	n := (&cluster{t: t, seed: core.address}).add("ledger")
+	t.Cleanup(n.stop)
+	n.until(t, "/p/x", http.StatusOK)
+	qt.Assert(t, feeds.Load() >= 2, qt.IsTrue)
+}
