crpipeline: a deadline for an earlier read ends no later one

Cause: the standard server ends its look for the end of the connection by a deadline in the past. When the next request of a keep-alive client arrived at that moment, the read ahead could notice the deadline late, while the server already waited for the rest of the request, or leave it behind although the look had its byte; the next look then got it and the server took the client for gone. Requests that had just been read were cut off without an answer. Ruled out: a stop, an idle limit, the transport of the test: the close came from the handler, with the context of a client that was there. Change: a Conn knows the present deadline of its reads; a late error of an earlier one is ignored, and one that passes beside bytes is forgotten. Conclusion: a report of other operators' ("requests that had just been accepted were cut off") that could happen here, without a stop, since read-ahead came in.

--- a/internal/crpipeline/crpipeline.go
+++ b/internal/crpipeline/crpipeline.go
@@ -50,6 +50,8 @@
 	waiting int
 	next    bool
 	err     error
+	// deadline is the present one of reads; zero means none.
+	deadline time.Time
 	// tail are the last bytes that were delivered, arrived is when they came.
 	tail    []byte
 	arrived time.Time
@@ -124,12 +126,12 @@
 	case c.err == nil:
 		n = c.read(p)
 	}
+	err := c.err
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The next read has a deadline of its own, also when this one had its bytes before.
+		c.err = nil
+	}
 	if n == 0 {
-		err := c.err
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// The next read has a deadline of its own.
-			c.err = nil
-		}
 		return 0, err
 	}
 	if look && !c.reading && c.err == nil {
@@ -217,9 +219,16 @@
 		c.mu.Lock()
 		c.hold(time.Now(), buf[:n])
 		c.fail(err)
-		if c.waiting == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-			// The deadline was for a read that is over.
-			c.err = nil
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			expired := !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+			if c.waiting == 0 || !expired {
+				// The deadline was for a read that is over.
+				c.err = nil
+			}
+			if c.waiting > 0 && !expired {
+				c.mu.Unlock()
+				continue
+			}
 		}
 		c.reading = err == nil && !c.next && c.heldBytes < aheadBytes && len(c.held) < aheadChunks
 		more := c.reading
@@ -231,6 +240,19 @@
 	}
 }
 
+// SetReadDeadline sets the time at which reads end.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the time at which reads and writes end.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // Close closes the connection. One with requests that were not read closes for writing first: bytes that nobody has read
 // would reset it, and the last answer might not arrive.
 func (c *Conn) Close() error {
--- a/internal/crpipeline/crpipeline_test.go
+++ b/internal/crpipeline/crpipeline_test.go
@@ -128,6 +128,116 @@
 	qt.Assert(t, ctx.Err(), qt.IsNil)
 }
 
+// scripted is a connection whose reads return what the test says, one after the other.
+type scripted struct {
+	net.Conn
+	reads chan func(p []byte) (int, error)
+	begun chan struct{}
+}
+
+func (s *scripted) Read(p []byte) (int, error) {
+	s.begun <- struct{}{}
+	next, ok := <-s.reads
+	if !ok {
+		return 0, io.EOF
+	}
+	return next(p)
+}
+
+func (s *scripted) SetReadDeadline(time.Time) error { return nil }
+
+func (s *scripted) Close() error { return nil }
+
+// Accept makes the connection a listener that accepts it.
+func (s *scripted) Accept() (net.Conn, error) { return s, nil }
+
+func (s *scripted) Addr() net.Addr { return nil }
+
+// TestDeadlineOfEarlierRead guards against a request that is cut off without an answer because it arrived as the answer before
+// it ended: the server looks for the end of the connection, gets the first byte of the request, and ends that look by a
+// deadline in the past, which the read ahead may notice only while the server already waits for the rest.
+func TestDeadlineOfEarlierRead(t *testing.T) {
+	conn := &scripted{reads: make(chan func([]byte) (int, error)), begun: make(chan struct{}, 10)}
+	accepted, err := crpipeline.Listen(conn).Accept()
+	qt.Assert(t, err, qt.IsNil)
+	bring := func(s string) func(p []byte) (int, error) {
+		return func(p []byte) (int, error) { return copy(p, s), nil }
+	}
+	go func() { conn.reads <- bring("P") }()
+	qt.Assert(t, read(t, accepted, 1), qt.Equals, "P")
+	<-conn.begun
+	// The read ahead has begun.
+	<-conn.begun
+	qt.Assert(t, accepted.SetReadDeadline(time.Unix(1, 0)), qt.IsNil)
+	qt.Assert(t, accepted.SetReadDeadline(time.Time{}), qt.IsNil)
+	type result struct {
+		text string
+		err  error
+	}
+	rest := make(chan result, 1)
+	go func() {
+		b := make([]byte, 4096)
+		n, err := accepted.Read(b)
+		rest <- result{string(b[:n]), err}
+	}()
+	// The server waits by now.
+	time.Sleep(50 * time.Millisecond)
+	conn.reads <- func([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+	select {
+	case r := <-rest:
+		t.Fatalf("the read ends with %q, %v", r.text, r.err)
+	case conn.reads <- bring("OST / HTTP/1.1\r\n\r\n"):
+	}
+	r := <-rest
+	qt.Assert(t, r.err, qt.IsNil)
+	qt.Assert(t, r.text, qt.Equals, "OST / HTTP/1.1\r\n\r\n")
+	// A read ahead that goes on ends with its connection.
+	close(conn.reads)
+}
+
+// TestDeadlineBesideBytes guards against a request that looks cancelled, and is cut off without an answer, by the deadline that
+// ended the look for the end of the connection before it: the look had its byte when the deadline passed.
+func TestDeadlineBesideBytes(t *testing.T) {
+	bring := func(s string) func(p []byte) (int, error) {
+		return func(p []byte) (int, error) { return copy(p, s), nil }
+	}
+	for range 200 {
+		conn := &scripted{reads: make(chan func([]byte) (int, error), 4), begun: make(chan struct{}, 20)}
+		accepted, err := crpipeline.Listen(conn).Accept()
+		qt.Assert(t, err, qt.IsNil)
+		conn.reads <- bring("P")
+		conn.reads <- bring("OST")
+		qt.Assert(t, read(t, accepted, 1), qt.Equals, "P")
+		for range 3 {
+			<-conn.begun
+		}
+		// The read ahead has brought the rest and goes on.
+		qt.Assert(t, read(t, accepted, 10), qt.Equals, "OST")
+		looked := make(chan string, 1)
+		look := func() {
+			b := make([]byte, 1)
+			n, err := accepted.Read(b)
+			if err != nil {
+				looked <- err.Error()
+				return
+			}
+			looked <- string(b[:n])
+		}
+		go look()
+		time.Sleep(time.Millisecond)
+		qt.Assert(t, accepted.SetReadDeadline(time.Unix(1, 0)), qt.IsNil)
+		conn.reads <- bring("NEXT")
+		conn.reads <- func([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+		qt.Assert(t, <-looked, qt.Equals, "N")
+		qt.Assert(t, accepted.SetReadDeadline(time.Time{}), qt.IsNil)
+		qt.Assert(t, read(t, accepted, 10), qt.Equals, "EXT")
+		go look()
+		conn.reads <- bring("X")
+		qt.Assert(t, <-looked, qt.Equals, "X")
+		close(conn.reads)
+	}
+}
+
 // TestBounded guards against a buffer that grows with what the client sends.
 func TestBounded(t *testing.T) {
 	client, server, _ := pair(t)
