crhint, crcoord, crforward: what nodes learned of routes outlives a restart; services without servers cost no runs

Ruled out: the election and the documents (0.3 s after the coordinators' start, read from the log); a disk of the nodes (they have none). Change: nodes report to their coordinators every 2 s what changed in what they know of routes, and take it when a tie begins, for routes that they know nothing of; coordinators keep it in a file beside their log. A gate tells its own figures once its server has ended 20 runs of a route. An entrance that knows that a route needs a service without servers lets one request in sixteen in. crstore.WriteFile is taken out of Store.writeFile.

--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -53,6 +53,7 @@
 	endpoint  *crwire.Endpoint
 	machine   *crdocument.Machine
 	shelf     crdocument.Shelf
+	hints     hints
 	replica   *crreplica.Replica
 	directory *crdirectory.Server
 	peers     peers
@@ -124,6 +125,7 @@
 	c.directory.Register(c.endpoint.Mux)
 	c.register()
 	c.gauges()
+	c.loadHints()
 	return nil
 }
 
@@ -138,6 +140,7 @@
 	c.wg.Go(func() { c.presenceLoop(ctx) })
 	c.wg.Go(func() { c.repairLoop(ctx) })
 	c.wg.Go(func() { c.standingLoop(ctx) })
+	c.wg.Go(func() { c.hintLoop(ctx) })
 	c.wg.Go(func() { c.ended("api", cradmin.Serve(ctx, c.API, c.Handler)) })
 	if c.Admin != nil {
 		c.wg.Go(func() {
@@ -157,6 +160,9 @@
 	ctx, done := context.WithTimeout(context.Background(), c.Settings.StopTimeout)
 	defer done()
 	c.replica.Stop(ctx)
+	if err := c.saveHints(); err != nil {
+		c.hintsFailed(err)
+	}
 	cancel()
 	_ = c.Inner.Close()
 	if !cradmin.Await(endLimit, c.endpoint.Close, c.wg.Wait) {
--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -240,6 +241,34 @@
 	qt.Assert(t, n >= size, qt.IsTrue)
 }
 
+// TestHintsSurvive guards against what nodes have learned of routes that is lost with a restart of their coordinator.
+func TestHintsSurvive(t *testing.T) {
+	c, at := newCore(t, 1)
+	exchange := func(h *crwire.RouteHints) *crwire.RouteHints {
+		e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: "node", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{}}
+		defer e.Close()
+		s, err := e.Session(t.Context(), at[0])
+		qt.Assert(t, err, qt.IsNil)
+		answer, err := crwire.Call[crwire.RouteHints](t.Context(), s, crcoord.MethodHints, h)
+		qt.Assert(t, err, qt.IsNil)
+		return answer
+	}
+	c.start(at[0], "0", true)
+	told := &crwire.RouteHint{Route: "history", Origin: 1, CostMs: map[string]float32{"archive": 104, "depot": 15}}
+	qt.Assert(t, len(exchange(&crwire.RouteHints{Want: true}).GetHints()), qt.Equals, 0)
+	qt.Assert(t, len(exchange(&crwire.RouteHints{Hints: []*crwire.RouteHint{told}}).GetHints()), qt.Equals, 0)
+	c.stop(at[0])
+	c.start(at[0], "0", false)
+	got := exchange(&crwire.RouteHints{Want: true}).GetHints()
+	qt.Assert(t, len(got), qt.Equals, 1)
+	qt.Assert(t, proto.Equal(got[0], told), qt.IsTrue, qt.Commentf("%v", got[0]))
+	// A damaged file is no reason not to start.
+	c.stop(at[0])
+	qt.Assert(t, os.WriteFile(filepath.Join(c.dir, "0", "hints"), []byte("junk"), 0o600), qt.IsNil)
+	c.start(at[0], "0", false)
+	qt.Assert(t, len(exchange(&crwire.RouteHints{Want: true}).GetHints()), qt.Equals, 0)
+}
+
 // TestNoSecondHistory guards against coordinators without disks that found a new history: all three come back empty, and
 // nothing is served rather than something older.
 func TestNoSecondHistory(t *testing.T) {
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -18,6 +18,7 @@
 const (
 	MethodHello = "core.hello"
 	MethodWatch = "document.watch"
+	MethodHints = "route.hints"
 	methodPut   = "document.put"
 	methodRead  = "document.read"
 )
@@ -38,6 +39,7 @@
 func (c *Coordinator) register() {
 	mux := c.endpoint.Mux
 	crwire.Handle(mux, MethodHello, c.handleHello)
+	crwire.Handle(mux, MethodHints, c.handleHints)
 	crwire.Handle(mux, methodPut, func(ctx context.Context, _ *crwire.Session, p *crwire.DocumentPut) (*crwire.DocumentVerdict, error) {
 		return c.propose(ctx, p.GetDocument())
 	})
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -14,6 +14,11 @@
 		Servers []crrouter.View `json:"servers"`
 		Denied  uint64          `json:"retries_denied"`
 	}
+	type routeView struct {
+		Name    string             `json:"name"`
+		Clients bool               `json:"from_clients"`
+		CostMS  map[string]float32 `json:"cost_ms"`
+	}
 	out := struct {
 		Name     string          `json:"name"`
 		At       time.Time       `json:"at"`
@@ -25,6 +30,7 @@
 		Limit    *crlimiter.View `json:"limit"`
 		Queued   int             `json:"queued"`
 		Services []serviceView   `json:"services"`
+		Routes   []routeView     `json:"routes"`
 	}{Name: n.Settings.Name, At: now, Control: n.directory.Control(), Stopping: n.stopping.Load(), InFlight: n.inFlight.Load()}
 	if t := n.table.Load(); t != nil {
 		out.Version = t.Version()
@@ -41,6 +47,9 @@
 		out.Services = append(out.Services, serviceView{s.name, s.router.View(now), s.retries.Denied()})
 	}
 	n.services.mu.Unlock()
+	for _, h := range n.learned() {
+		out.Routes = append(out.Routes, routeView{h.GetRoute(), origin(h.GetOrigin()) == originClients, h.GetCostMs()})
+	}
 	return out
 }
 
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -209,6 +209,7 @@
 			n.directory.Attach(tied, c.session, c.address)
 		})
 	}
+	wg.Go(func() { n.shareHints(tied, c.session) })
 	silent := time.AfterFunc(feedSilence, cancel)
 	defer silent.Stop()
 	held := n.documents.held()
--- /dev/null
+++ b/internal/crforward/hints.go
@@ -0,0 +1,107 @@
+package crforward
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronramp/citronramp/internal/crcoord"
+	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crhint"
+	"github.com/citronramp/citronramp/internal/crpause"
+	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcost"
+)
+
+const (
+	// hintInterval is the time between reports of what is learned; a machine that ends takes the news of so long with it.
+	hintInterval = 2 * time.Second
+	// hintTimeout bounds one report.
+	hintTimeout = time.Second
+	// enoughRuns is how many runs of a route the backend server has ended when its own figures replace what others learned: the
+	// mean of fewer is off by a quarter or more.
+	enoughRuns = 20
+)
+
+// shareHints reports to a coordinator what this node learns of routes, until ctx ends, and takes what others have learned when
+// the tie begins.
+func (n *Node) shareHints(ctx context.Context, s *crwire.Session) {
+	told := &crhint.Book{}
+	for want := true; ; want = false {
+		if err := n.exchangeHints(ctx, s, told, want); err != nil {
+			if ctx.Err() == nil {
+				// Coordinators of an earlier release know no hints.
+				n.Counters.Add("hints_failed", 1)
+				n.Log.Emit(time.Now(), crevent.State, crevent.Message, crevent.KeyDetail, "hints", crevent.KeyError, err)
+			}
+			return
+		}
+		if crpause.For(ctx, hintInterval) != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) exchangeHints(ctx context.Context, s *crwire.Session, told *crhint.Book, want bool) error {
+	news := &crwire.RouteHints{Want: want}
+	for _, h := range n.learned() {
+		if told.Tell(h) > 0 {
+			news.Hints = append(news.Hints, h)
+		}
+	}
+	if !want && len(news.Hints) == 0 {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	answer, err := crwire.Call[crwire.RouteHints](limited, s, crcoord.MethodHints, news)
+	if err != nil {
+		return err
+	}
+	for _, h := range answer.GetHints() {
+		n.adopt(h)
+	}
+	return nil
+}
+
+// learned returns what this node knows of routes.
+func (n *Node) learned() []*crwire.RouteHint {
+	var out []*crwire.RouteHint
+	origins := n.origins.copied()
+	for route, costs := range n.costs.copied() {
+		h := &crwire.RouteHint{Route: route, Origin: uint32(origins[route]), CostMs: map[string]float32{}}
+		for service, seconds := range costs {
+			h.CostMs[service] = float32(seconds * 1000)
+		}
+		delete(origins, route)
+		out = append(out, h)
+	}
+	for route, o := range origins {
+		out = append(out, &crwire.RouteHint{Route: route, Origin: uint32(o)})
+	}
+	return out
+}
+
+// adopt takes a hint where this node has learned nothing itself.
+func (n *Node) adopt(h *crwire.RouteHint) {
+	if o := origin(h.GetOrigin()); o == originClients || o == originServers {
+		n.origins.seed(h.GetRoute(), o)
+	}
+	if len(h.GetCostMs()) == 0 {
+		return
+	}
+	costs := crcost.Vector{}
+	for service, ms := range h.GetCostMs() {
+		costs[service] = float64(ms) / 1000
+	}
+	n.costs.seed(h.GetRoute(), costs)
+}
+
+// costOf returns what a run of a route on the backend server costs: as others learned while the server has ended few.
+func (n *Node) costOf(route string) crcost.Vector {
+	if n.ledger.Runs(route) < enoughRuns {
+		if costs := n.costs.of(route); costs != nil {
+			return costs
+		}
+	}
+	return n.ledger.Cost(route)
+}
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -122,7 +122,7 @@
 		}
 	}
 	if k := n.answers.Add(1); k < costFirst || k%costEvery == 0 {
-		costs := n.ledger.Cost(c.route)
+		costs := n.costOf(c.route)
 		for _, service := range costs.Top(costEntries) {
 			cost = append(cost, fmt.Sprintf("%s=%.0f", url.QueryEscape(service), costs[service]*1000))
 		}
--- a/internal/crforward/origins.go
+++ b/internal/crforward/origins.go
@@ -1,6 +1,7 @@
 package crforward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -116,6 +117,19 @@
 	r.all[route] = o
 }
 
+// seed takes what others have learned of a route that is not known yet.
+func (r *routeOrigins) seed(route string, o origin) {
+	if r.of(route) == originUnknown {
+		r.learn(route, o)
+	}
+}
+
+func (r *routeOrigins) copied() map[string]origin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.all)
+}
+
 func (r *routeOrigins) of(route string) origin {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -47,6 +48,20 @@
 	r.all[route] = next
 }
 
+// seed takes what others have learned of a route that is not known yet.
+func (r *routeCosts) seed(route string, costs crcost.Vector) {
+	if r.of(route) == nil {
+		r.learn(route, costs)
+	}
+}
+
+func (r *routeCosts) copied() map[string]crcost.Vector {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Vectors are replaced, never changed.
+	return maps.Clone(r.all)
+}
+
 func (r *routeCosts) of(route string) crcost.Vector {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,7 +100,12 @@
 			n.shares.Offer(now, s, route.Priority, time.Duration(seconds*float64(time.Second)))
 		}
 		p := n.board.Pressure(now, s)
-		if v := n.shares.Share(now, s, route.Priority, p); v < share {
+		v := n.shares.Share(now, s, route.Priority, p)
+		if known && n.services.absent(s) {
+			// A few go through, so that it is learned when the route no longer needs the service.
+			p, v = crshed.MaxPressure, 1/crshed.MaxPressure
+		}
+		if v < share {
 			share, service, pressure = v, s, p
 		}
 	}
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -101,6 +101,12 @@
 	return nil
 }
 
+// absent reports whether a service has no server, while others have.
+func (s *services) absent(name string) bool {
+	present := s.withServers()
+	return len(present) > 0 && present[name] == 0
+}
+
 // everything returns all services with servers as if a route took a second of each.
 func (s *services) everything() crcost.Vector {
 	v := crcost.Vector{}
--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -40,7 +40,8 @@
 	calls   []string
 	running map[string]int
 	out     map[string]int
-	// times are mean run times of kinds, waits mean times that calls take, below the vectors of calls.
+	// ended counts the good ends of runs of kinds, times are their mean run times, waits mean times that calls take, below the vectors of calls.
+	ended        map[string]int
 	times, waits map[string]float64
 	below        map[string]Vector
 	// gram and cross are the sums of the regression of outstanding calls on runs.
@@ -54,7 +55,7 @@
 
 func (l *Ledger) init() {
 	if l.running == nil {
-		l.running, l.out = map[string]int{}, map[string]int{}
+		l.running, l.out, l.ended = map[string]int{}, map[string]int{}, map[string]int{}
 		l.times, l.waits, l.below = map[string]float64{}, map[string]float64{}, map[string]Vector{}
 	}
 }
@@ -75,10 +76,18 @@
 	l.init()
 	l.running[kind] = max(l.running[kind]-1, 0)
 	if good {
+		l.ended[kind]++
 		average(l.times, kind, took.Seconds())
 	}
 }
 
+// Runs returns how many runs of a kind have ended well.
+func (l *Ledger) Runs(kind string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended[kind]
+}
+
 // CallStarted counts a call that the server makes.
 func (l *Ledger) CallStarted(kind string) {
 	l.mu.Lock()
--- a/pkg/crstore/crstore.go
+++ b/pkg/crstore/crstore.go
@@ -239,10 +239,12 @@
 	return s.use(s.number+1, int64(len(buf)))
 }
 
-// writeFile makes a file durable under its name in one step.
-func (s *Store) writeFile(name string, raw []byte) error {
-	temp := s.path(name + tempSuffix)
-	f, err := s.fs.Create(temp)
+func (s *Store) writeFile(name string, raw []byte) error { return WriteFile(s.fs, s.path(name), raw) }
+
+// WriteFile makes a file durable under its name in one step: after a failure it holds what it held before.
+func WriteFile(fs FS, name string, raw []byte) error {
+	temp := name + tempSuffix
+	f, err := fs.Create(temp)
 	if err != nil {
 		return coded(err)
 	}
@@ -255,10 +257,10 @@
 	if err := f.Close(); err != nil {
 		return coded(err)
 	}
-	if err := s.fs.Rename(temp, s.path(name)); err != nil {
+	if err := fs.Rename(temp, name); err != nil {
 		return coded(err)
 	}
-	if err := s.fs.SyncDir(s.dir); err != nil {
+	if err := fs.SyncDir(filepath.Dir(name)); err != nil {
 		return syncFailed(err)
 	}
 	return nil
