crhint, crcoord, crforward: hints reach nodes while they run

A size effect: what is learned by one is of use to all. Change: while requests come whose origin or cost is not known, a node asks its coordinators each 300 ms for hints that are new; a book numbers its news, so that the answer holds nothing else.

--- a/internal/crcoord/hints.go
+++ b/internal/crcoord/hints.go
@@ -60,7 +60,7 @@
 	}
 	answer := &crwire.RouteHints{}
 	if told.GetWant() {
-		answer.Hints = c.hints.book.Hints()
+		answer.Hints, answer.Since = c.hints.book.Since(told.GetSince())
 	}
 	return answer, nil
 }
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -79,6 +79,8 @@
 
 	table     atomic.Pointer[crroute.Table]
 	documents documents
+	// unlearned is set when a request comes whose route this node knows too little of.
+	unlearned atomic.Bool
 	endpoint  *crwire.Endpoint
 	directory *crdirectory.Client
 	follower  follower
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -70,8 +70,14 @@
 		idle: n.gate.idle(),
 	}
 	c.origin = n.origins.of(route.Name)
-	if c.origin == originUnknown && c.idle {
-		c.origin = originClients
+	if c.origin == originUnknown {
+		n.unlearned.Store(true)
+		if c.idle {
+			c.origin = originClients
+		}
+	}
+	if c.origin == originClients && n.costs.of(route.Name) == nil {
+		n.unlearned.Store(true)
 	}
 	c.worth = uint32(topWorth - min(max(route.Priority, 0), topWorth-1))
 	c.due = c.deadline
--- a/internal/crforward/hints.go
+++ b/internal/crforward/hints.go
@@ -15,6 +15,9 @@
 const (
 	// hintInterval is the time between reports of what is learned; a machine that ends takes the news of so long with it.
 	hintInterval = 2 * time.Second
+	// unlearnedInterval takes its place while requests come whose route this node knows too little of: what one node has learned
+	// is of use to all that still let everything in.
+	unlearnedInterval = 300 * time.Millisecond
 	// hintTimeout bounds one report.
 	hintTimeout = time.Second
 	// enoughRuns is how many runs of a route the backend server has ended when its own figures replace what others learned: the
@@ -23,11 +26,11 @@
 )
 
 // shareHints reports to a coordinator what this node learns of routes, until ctx ends, and takes what others have learned when
-// the tie begins.
+// the tie begins and while requests come whose route this node knows too little of.
 func (n *Node) shareHints(ctx context.Context, s *crwire.Session) {
-	told := &crhint.Book{}
-	for want := true; ; want = false {
-		if err := n.exchangeHints(ctx, s, told, want); err != nil {
+	told, since := &crhint.Book{}, uint64(0)
+	for want := true; ; want = n.unlearned.Swap(false) {
+		if err := n.exchangeHints(ctx, s, told, want, &since); err != nil {
 			if ctx.Err() == nil {
 				// Coordinators of an earlier release know no hints.
 				n.Counters.Add("hints_failed", 1)
@@ -35,14 +38,27 @@
 			}
 			return
 		}
-		if crpause.For(ctx, hintInterval) != nil {
+		if n.awaitHints(ctx) != nil {
 			return
 		}
 	}
 }
 
-func (n *Node) exchangeHints(ctx context.Context, s *crwire.Session, told *crhint.Book, want bool) error {
-	news := &crwire.RouteHints{Want: want}
+// awaitHints waits until the next exchange is due.
+func (n *Node) awaitHints(ctx context.Context) error {
+	for waited := time.Duration(0); waited < hintInterval; waited += unlearnedInterval {
+		if err := crpause.For(ctx, unlearnedInterval); err != nil {
+			return err
+		}
+		if n.unlearned.Load() {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (n *Node) exchangeHints(ctx context.Context, s *crwire.Session, told *crhint.Book, want bool, since *uint64) error {
+	news := &crwire.RouteHints{Want: want, Since: *since}
 	for _, h := range n.learned() {
 		if told.Tell(h) > 0 {
 			news.Hints = append(news.Hints, h)
@@ -57,6 +73,9 @@
 	if err != nil {
 		return err
 	}
+	if want {
+		*since = answer.GetSince()
+	}
 	for _, h := range answer.GetHints() {
 		n.adopt(h)
 	}
--- a/internal/crforward/hints_test.go
+++ b/internal/crforward/hints_test.go
@@ -68,6 +68,38 @@
 	})
 }
 
+// TestHintsWhileRunning guards against an entrance that lets everything in until it has learned by its own few requests what
+// others know already: the more entrances there are, the fewer requests each of them sees.
+func TestHintsWhileRunning(t *testing.T) {
+	c := newCluster(t)
+	from, to, other := c.add("ledger"), c.add("photos"), c.add("ledger")
+	c.put(3, 0, route("/p/", "photos", crroute.Repeatable))
+	to.backend.set(func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	from.warm(t, "GET", "/p/x", to)
+	for i := range 30 {
+		_, _, err := from.send(context.Background(), "GET", "/p/x", fmt.Sprint("learn-", i), nil)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	other.until(t, "/nowhere", http.StatusNotFound)
+	qt.Assert(t, other.learnedOf(t, "/p/"), qt.DeepEquals, learnedRoute{})
+	since := time.Now()
+	eventually(t, func() bool {
+		// Without time for a run an answer teaches nothing.
+		req, err := http.NewRequest("GET", "http://"+other.entrance+"/p/x", nil)
+		qt.Assert(t, err, qt.IsNil)
+		req.Host = "app.example"
+		req.Header.Set(names.RequestID, "hopeless")
+		req.Header.Set(names.Timeout, "0")
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.Body.Close(), qt.IsNil)
+		got := other.learnedOf(t, "/p/")
+		return got.Clients && got.CostMS["photos"] >= 20
+	})
+	// The other node reports within 2 s, and this one asks each 300 ms.
+	qt.Assert(t, time.Since(since) < 3*time.Second, qt.IsTrue)
+}
+
 // TestAbsentService guards against requests that are let in, run and fail since a service that their run calls has no server:
 // after a loss of power the services come back one after the other.
 func TestAbsentService(t *testing.T) {
--- a/internal/crhint/crhint.go
+++ b/internal/crhint/crhint.go
@@ -31,13 +31,14 @@
 // Book holds one hint for each route, the last one that was told. The zero value is empty. It is not safe for concurrent use.
 type Book struct {
 	hints map[string]entry
-	count uint64
+	// count numbers what was told, news what was new.
+	count, news uint64
 }
 
 type entry struct {
 	hint *crwire.RouteHint
-	// told orders the entries by when they were told last.
-	told uint64
+	// told orders the entries by when they were told last, changed by when they said something new.
+	told, changed uint64
 }
 
 // Tell takes hints and returns how many of them say something new. A hint without an origin or costs leaves what was known.
@@ -51,7 +52,8 @@
 			continue
 		}
 		b.count++
-		old := b.hints[h.GetRoute()].hint
+		known := b.hints[h.GetRoute()]
+		old := known.hint
 		if h.GetOrigin() == 0 {
 			h.Origin = old.GetOrigin()
 		}
@@ -63,8 +65,10 @@
 			h = old
 		} else {
 			news++
+			b.news++
+			known.changed = b.news
 		}
-		b.hints[h.GetRoute()] = entry{hint: h, told: b.count}
+		b.hints[h.GetRoute()] = entry{hint: h, told: b.count, changed: known.changed}
 	}
 	b.trim()
 	return news
@@ -81,12 +85,21 @@
 	}
 }
 
-// Hints returns all hints in the order of their routes; they must not be changed.
-func (b *Book) Hints() []*crwire.RouteHint {
+// Since returns the hints that are new since a number, in the order of their routes, and the number to ask with next; 0 stands
+// for all. The hints must not be changed.
+func (b *Book) Since(number uint64) ([]*crwire.RouteHint, uint64) {
 	var out []*crwire.RouteHint
 	for _, name := range slices.Sorted(maps.Keys(b.hints)) {
-		out = append(out, b.hints[name].hint)
+		if e := b.hints[name]; e.changed > number {
+			out = append(out, e.hint)
+		}
 	}
+	return out, b.news
+}
+
+// Hints returns all hints in the order of their routes; they must not be changed.
+func (b *Book) Hints() []*crwire.RouteHint {
+	out, _ := b.Since(0)
 	return out
 }
 
--- a/internal/crhint/crhint_test.go
+++ b/internal/crhint/crhint_test.go
@@ -26,8 +26,12 @@
 	qt.Assert(t, b.Tell(hint("a", 1, map[string]float32{"x": 140})), qt.Equals, 1)
 	qt.Assert(t, b.Tell(hint("a", 2, nil)), qt.Equals, 1)
 	qt.Assert(t, b.Tell(hint("a", 0, map[string]float32{"x": 140, "y": 5})), qt.Equals, 1)
-	got := b.Hints()
+	got, number := b.Since(0)
 	qt.Assert(t, len(got), qt.Equals, 1)
+	b.Tell(hint("a", 2, nil), hint("b", 1, nil))
+	news, _ := b.Since(number)
+	qt.Assert(t, len(news), qt.Equals, 1)
+	qt.Assert(t, news[0].Route, qt.Equals, "b")
 	qt.Assert(t, got[0].Origin, qt.Equals, uint32(2))
 	qt.Assert(t, got[0].CostMs, qt.DeepEquals, map[string]float32{"x": 140, "y": 5})
 }
