crforward: hints are exchanged again after a failure

Cause: a report that failed once, by a coordinator that was too busy for a second, ended the exchange for the rest of the tie, and what it held counted as told. Found by reading. Ruled out: a tie that ends by itself then: its feed goes on. Change: the next exchange tells all again and asks for all news; what was exchanged with one coordinator is one struct.

--- a/internal/crforward/hints.go
+++ b/internal/crforward/hints.go
@@ -25,22 +25,33 @@
 	enoughRuns = 20
 )
 
+// hintTie is what was exchanged with one coordinator.
+type hintTie struct {
+	session *crwire.Session
+	// told holds what the coordinator was told, since is the number of the last news that it told.
+	told  *crhint.Book
+	since uint64
+}
+
 // shareHints reports to a coordinator what this node learns of routes, until ctx ends, and takes what others have learned when
 // the tie begins and while requests come whose route this node knows too little of.
 func (n *Node) shareHints(ctx context.Context, s *crwire.Session) {
-	told, since := &crhint.Book{}, uint64(0)
-	for want := true; ; want = n.unlearned.Swap(false) {
-		if err := n.exchangeHints(ctx, s, told, want, &since); err != nil {
-			if ctx.Err() == nil {
-				// Coordinators of an earlier release know no hints.
-				n.Counters.Add("hints_failed", 1)
-				n.Log.Emit(time.Now(), crevent.State, crevent.Message, crevent.KeyDetail, "hints", crevent.KeyError, err)
-			}
+	t := &hintTie{session: s, told: &crhint.Book{}}
+	for want := true; ; {
+		err := n.exchangeHints(ctx, t, want)
+		if ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			n.Counters.Add("hints_failed", 1)
+			n.Log.Emit(time.Now(), crevent.State, crevent.Message, crevent.KeyDetail, "hints", crevent.KeyError, err)
+			// What the failed report held is told again.
+			t.told = &crhint.Book{}
+		}
 		if n.awaitHints(ctx) != nil {
 			return
 		}
+		want = n.unlearned.Swap(false) || err != nil
 	}
 }
 
@@ -57,10 +68,10 @@
 	return nil
 }
 
-func (n *Node) exchangeHints(ctx context.Context, s *crwire.Session, told *crhint.Book, want bool, since *uint64) error {
-	news := &crwire.RouteHints{Want: want, Since: *since}
+func (n *Node) exchangeHints(ctx context.Context, t *hintTie, want bool) error {
+	news := &crwire.RouteHints{Want: want, Since: t.since}
 	for _, h := range n.learned() {
-		if told.Tell(h) > 0 {
+		if t.told.Tell(h) > 0 {
 			news.Hints = append(news.Hints, h)
 		}
 	}
@@ -69,12 +80,12 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, hintTimeout)
 	defer cancel()
-	answer, err := crwire.Call[crwire.RouteHints](limited, s, crcoord.MethodHints, news)
+	answer, err := crwire.Call[crwire.RouteHints](limited, t.session, crcoord.MethodHints, news)
 	if err != nil {
 		return err
 	}
 	if want {
-		*since = answer.GetSince()
+		t.since = answer.GetSince()
 	}
 	for _, h := range answer.GetHints() {
 		n.adopt(h)
--- a/internal/crforward/hints_test.go
+++ b/internal/crforward/hints_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/citronramp/citronramp/internal/crcoord"
+	"github.com/citronramp/citronramp/internal/crpause"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crroute"
 )
 
@@ -100,6 +104,38 @@
 	qt.Assert(t, time.Since(since) < 3*time.Second, qt.IsTrue)
 }
 
+// TestHintsFailOnce guards against a node that neither takes nor tells hints any more because its coordinator was once too busy.
+func TestHintsFailOnce(t *testing.T) {
+	// Both ties may begin with the only coordinator.
+	const ties = 2
+	var calls atomic.Int32
+	core := &coordinator{
+		view: func(c *coordinator) *crwire.CoreView {
+			return &crwire.CoreView{Voters: []string{c.address}, Confirmed: true}
+		},
+		watch: func(ctx context.Context, send func(*crwire.DocumentFeed) error) error {
+			// A feed that is silent would be left, and begun anew.
+			var err error
+			crpause.Every(ctx, 100*time.Millisecond, func() { err = errors.Join(err, send(feedOf(7, "[]", true))) })
+			return err
+		},
+		hints: func(h *crwire.RouteHints) (*crwire.RouteHints, error) {
+			if calls.Add(1) <= ties {
+				return nil, crcode.New(crcode.Stopping, "busy")
+			}
+			if !h.GetWant() {
+				return &crwire.RouteHints{}, nil
+			}
+			return &crwire.RouteHints{Hints: []*crwire.RouteHint{{Route: "/p/", Origin: 1, CostMs: map[string]float32{"photos": 50}}}}, nil
+		},
+	}
+	core.start(t)
+	n := (&cluster{t: t, seed: core.address}).add("ledger")
+	t.Cleanup(n.stop)
+	eventually(t, func() bool { return n.learnedOf(t, "/p/").Clients })
+	qt.Assert(t, calls.Load() > ties, qt.IsTrue)
+}
+
 // TestAbsentService guards against requests that are let in, run and fail since a service that their run calls has no server:
 // after a loss of power the services come back one after the other.
 func TestAbsentService(t *testing.T) {
--- a/internal/crforward/ties_test.go
+++ b/internal/crforward/ties_test.go
@@ -42,6 +42,8 @@
 	asked atomic.Int32
 	// watched is the last request for a feed.
 	watched atomic.Pointer[crwire.DocumentWatch]
+	// hints, when set, answers reports of what nodes learn.
+	hints func(*crwire.RouteHints) (*crwire.RouteHints, error)
 }
 
 func (c *coordinator) start(t *testing.T) {
@@ -63,6 +65,11 @@
 		<-ctx.Done()
 		return ctx.Err()
 	})
+	if c.hints != nil {
+		crwire.Handle(e.Mux, crcoord.MethodHints, func(_ context.Context, _ *crwire.Session, h *crwire.RouteHints) (*crwire.RouteHints, error) {
+			return c.hints(h)
+		})
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = e.Serve(ln) })
