crforward, crcoord: one store for what is learned by route; a good answer is told in one place

Change: byRoute serves both stores, seed is one step; answered is called; saveHints returns before it encodes; session and putBody in the tests of crcoord. Decisions and assertions are the same.

--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -115,11 +115,26 @@
 	}
 }
 
+// session opens a session of another process to the coordinator at the address.
+func session(t *testing.T, address string) *crwire.Session {
+	t.Helper()
+	e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: "other", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{}}
+	t.Cleanup(e.Close)
+	s, err := e.Session(t.Context(), address)
+	qt.Assert(t, err, qt.IsNil)
+	return s
+}
+
 // put proposes a document until it is accepted.
 func put(t *testing.T, c *crcoord.Coordinator, version, base uint64) {
+	t.Helper()
+	putBody(t, c, version, base, []byte("v"+strconv.FormatUint(version, 10)))
+}
+
+func putBody(t *testing.T, c *crcoord.Coordinator, version, base uint64, body []byte) {
 	t.Helper()
 	eventually(t, func() bool {
-		v, _, err := c.Put(context.Background(), &crwire.Document{Version: version, Base: base, Body: []byte("v" + strconv.FormatUint(version, 10))})
+		v, _, err := c.Put(context.Background(), &crwire.Document{Version: version, Base: base, Body: body})
 		return err == nil && (v == crdocument.Accepted || v == crdocument.Repeated)
 	})
 }
@@ -192,24 +207,15 @@
 		return fmt.Appendf(slices.Clone(text.Bytes()), "weight of svc-3 is %d", version)
 	}
 	const last = 6
-	propose := func(version uint64) {
-		d := &crwire.Document{Version: version, Base: version - 1, Body: body(version)}
-		eventually(t, func() bool {
-			v, _, err := p.Put(context.Background(), d)
-			return err == nil && (v == crdocument.Accepted || v == crdocument.Repeated)
-		})
-	}
+	propose := func(version uint64) { putBody(t, p, version, version-1, body(version)) }
 	propose(1)
 	size := len(body(1))
 	watch := func(packed bool) (bytesRead int, got map[uint64]string) {
-		e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: "node", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{}}
-		defer e.Close()
-		s, err := e.Session(t.Context(), at[0])
-		qt.Assert(t, err, qt.IsNil)
+		s := session(t, at[0])
 		got = map[uint64]string{}
 		var held *crwire.Document
 		done := errors.New("all versions came")
-		err = crwire.Receive(t.Context(), s, crcoord.MethodWatch, &crwire.DocumentWatch{Packed: packed}, func(f *crwire.DocumentFeed) error {
+		err := crwire.Receive(t.Context(), s, crcoord.MethodWatch, &crwire.DocumentWatch{Packed: packed}, func(f *crwire.DocumentFeed) error {
 			bytesRead += proto.Size(f)
 			if d := f.GetDocument(); d != nil {
 				held = d
@@ -245,10 +251,7 @@
 func TestHintsSurvive(t *testing.T) {
 	c, at := newCore(t, 1)
 	exchange := func(h *crwire.RouteHints) *crwire.RouteHints {
-		e := &crwire.Endpoint{Identity: crwire.Identity{Self: crwire.Peer{Name: "node", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{}}
-		defer e.Close()
-		s, err := e.Session(t.Context(), at[0])
-		qt.Assert(t, err, qt.IsNil)
+		s := session(t, at[0])
 		answer, err := crwire.Call[crwire.RouteHints](t.Context(), s, crcoord.MethodHints, h)
 		qt.Assert(t, err, qt.IsNil)
 		return answer
@@ -323,19 +326,17 @@
 		}
 		return leader != ""
 	})
-	e := &crwire.Endpoint{
-		Identity: crwire.Identity{Self: crwire.Peer{Name: "earlier", Incarnation: "1", Role: crwire.RoleControl}}, Mux: &crwire.Mux{},
+	sessions := map[string]*crwire.Session{}
+	for _, a := range at {
+		sessions[a] = session(t, a)
 	}
-	defer e.Close()
 	earlier := &crwire.CoreHello{Name: "earlier", Id: 77, Address: leader, Domain: leader}
 	for range 30 {
 		for _, a := range at {
 			if a == leader {
 				continue
 			}
-			s, err := e.Session(t.Context(), a)
-			qt.Assert(t, err, qt.IsNil)
-			_, err = crwire.Call[crwire.CoreView](t.Context(), s, crcoord.MethodHello, earlier)
+			_, err := crwire.Call[crwire.CoreView](t.Context(), sessions[a], crcoord.MethodHello, earlier)
 			qt.Assert(t, err, qt.IsNil)
 		}
 		time.Sleep(30 * time.Millisecond)
--- a/internal/crcoord/hints.go
+++ b/internal/crcoord/hints.go
@@ -76,11 +76,14 @@
 
 func (c *Coordinator) saveHints() error {
 	c.hints.mu.Lock()
-	unsaved := c.hints.unsaved
+	if !c.hints.unsaved {
+		c.hints.mu.Unlock()
+		return nil
+	}
 	c.hints.unsaved = false
 	raw, err := c.hints.book.Encode()
 	c.hints.mu.Unlock()
-	if err != nil || !unsaved {
+	if err != nil {
 		return err
 	}
 	if err := crstore.WriteFile(crstore.OS{}, c.hintsPath(), raw); err != nil {
--- a/internal/crforward/answer.go
+++ b/internal/crforward/answer.go
@@ -54,7 +54,7 @@
 func (n *Node) logRun(c *call, r *reply) {
 	now := time.Now()
 	class := crevent.Failure
-	if r.code == crcode.OK && r.status < 500 {
+	if answered(r) {
 		if !n.Log.Sampled(c.id) {
 			return
 		}
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -148,7 +148,7 @@
 		n.ledger.CallStarted(c.route)
 	}
 	r, tries := n.place(ctx, c, route)
-	good := r.code == crcode.OK && r.status < 500
+	good := answered(r)
 	if !good {
 		n.callFailed.Store(time.Now().UnixNano())
 	}
@@ -195,7 +195,7 @@
 	now := time.Now()
 	class, event := crevent.Failure, crevent.Answered
 	switch {
-	case r.code == crcode.OK && r.status < 500:
+	case answered(r):
 		if !n.Log.Sampled(c.id) {
 			return
 		}
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -323,7 +323,7 @@
 	g.node.Counters.Observe(waitTime+c.service, waited)
 	g.node.Counters.Observe(runTime+c.service, r.took)
 	r.excused = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
-	g.node.ledger.Ended(c.route, r.took, r.code == crcode.OK && r.status < 500)
+	g.node.ledger.Ended(c.route, r.took, answered(r))
 	r.origin = c.origin
 	r.waited, r.load, r.pressure = waited, g.load(), g.regulator.Pressure()
 	return r
--- a/internal/crforward/origins.go
+++ b/internal/crforward/origins.go
@@ -1,7 +1,6 @@
 package crforward
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -100,38 +99,10 @@
 }
 
 // routeOrigins is what the gates told a node of the routes that it sends requests of.
-type routeOrigins struct {
-	mu  sync.Mutex
-	all map[string]origin
-}
+type routeOrigins struct{ byRoute[origin] }
 
 func (r *routeOrigins) learn(route string, o origin) {
-	if o == originUnknown {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.all == nil {
-		r.all = map[string]origin{}
-	}
-	r.all[route] = o
-}
-
-// seed takes what others have learned of a route that is not known yet.
-func (r *routeOrigins) seed(route string, o origin) {
-	if r.of(route) == originUnknown {
-		r.learn(route, o)
+	if o != originUnknown {
+		r.merge(route, o, func(_, told origin) origin { return told })
 	}
 }
-
-func (r *routeOrigins) copied() map[string]origin {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return maps.Clone(r.all)
-}
-
-func (r *routeOrigins) of(route string) origin {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.all[route]
-}
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"sync"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
@@ -22,50 +20,19 @@
 )
 
 // routeCosts is what the answers told of the costs of routes.
-type routeCosts struct {
-	mu  sync.Mutex
-	all map[string]crcost.Vector
-}
+type routeCosts struct{ byRoute[crcost.Vector] }
 
 func (r *routeCosts) learn(route string, told crcost.Vector) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.all == nil {
-		r.all = map[string]crcost.Vector{}
-	}
-	old := r.all[route]
-	if old == nil {
-		r.all[route] = told
-		return
-	}
-	next := crcost.Vector{}
-	for service, v := range old {
-		next[service] = v * (1 - costSmoothing)
-	}
-	for service, v := range told {
-		next[service] += v * costSmoothing
-	}
-	r.all[route] = next
-}
-
-// seed takes what others have learned of a route that is not known yet.
-func (r *routeCosts) seed(route string, costs crcost.Vector) {
-	if r.of(route) == nil {
-		r.learn(route, costs)
-	}
-}
-
-func (r *routeCosts) copied() map[string]crcost.Vector {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	// Vectors are replaced, never changed.
-	return maps.Clone(r.all)
-}
-
-func (r *routeCosts) of(route string) crcost.Vector {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.all[route]
+	r.merge(route, told, func(old, told crcost.Vector) crcost.Vector {
+		next := crcost.Vector{}
+		for service, v := range old {
+			next[service] = v * (1 - costSmoothing)
+		}
+		for service, v := range told {
+			next[service] += v * costSmoothing
+		}
+		return next
+	})
 }
 
 // learn takes what an answer tells of the load below.
