crnode: TestRollingRestart tells each send of a request that was lost

Cause: the test tells the last code of a lost request only, so that its listed failures cannot be told apart (a claim that waits, a deadline that is too short, a budget that is spent). Change: the kind, the code and the time of each send are told. No check changes. Measured: the test compiles and its assertions are the same; it was not made to fail.

--- a/internal/crnode/stop_test.go
+++ b/internal/crnode/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -49,8 +50,11 @@
 	l.sent.Add(1)
 	q := crtest.Request{ID: entrances[n%len(entrances)].NewID(), Body: fmt.Append(nil, "request ", n)}
 	var r crtest.Reply
+	var sends []string
 	for send := range 4 {
+		began := time.Now()
 		r = k.Send(entrances[(n+send)%len(entrances)], kind, q)
+		sends = append(sends, fmt.Sprintf("%v %v after %s", r.Code, r.Err, time.Since(began).Round(time.Millisecond)))
 		whole := r.Err == nil && (r.Code == crcode.OK || r.Code == crcode.Replayed)
 		if whole && r.Body == crtest.Want(q.ID, q.Body) {
 			return
@@ -64,7 +68,7 @@
 	l.lost.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seen[fmt.Sprint(r.Code, " ", r.Err)]++
+	l.seen[fmt.Sprint(kind, ": ", strings.Join(sends, "; "))]++
 }
 
 func (l *load) stop(k *crtest.Cluster) {
