crforward: lines for what a route is held to cost, and for a gate that stays pressed

Change: cost_learned with the costs by service and where they came from, when one of them changes by a quarter, at most once a second and route; pressure_changed each second while the pressure is above 1. No decision changes. Measured: the tests of crevent and crforward pass.

--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -42,6 +42,7 @@
 	LeaderChanged    Event = "leader_changed"
 	MemberChange     Event = "member_change"
 	PressureChanged  Event = "pressure_changed"
+	CostLearned      Event = "cost_learned"
 )
 
 // Keys of the values on a line.
@@ -81,4 +82,5 @@
 	KeyError    = "err"
 	KeyAddress  = "address"
 	KeyDetail   = "detail"
+	KeyCost     = "cost_ms"
 )
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -93,6 +93,7 @@
 	board     crshed.Board
 	shares    crshed.Shares
 	costs     routeCosts
+	costLines costLines
 	origins   routeOrigins
 	ledger    *crcost.Ledger
 	answers   atomic.Uint64
--- a/internal/crforward/hints.go
+++ b/internal/crforward/hints.go
@@ -124,6 +124,7 @@
 		costs[service] = float64(ms) / 1000
 	}
 	n.costs.seed(h.GetRoute(), costs)
+	n.tellCost(time.Now(), h.GetRoute(), costHinted)
 }
 
 // costOf returns what a run of a route on the backend server costs: as others learned while the server has ended few.
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -46,6 +46,7 @@
 	n.origins.learn(c.route, r.origin)
 	if r.cost != nil {
 		n.costs.learn(c.route, r.cost)
+		n.tellCost(now, c.route, costAnswered)
 	}
 }
 
--- a/internal/crforward/regulate.go
+++ b/internal/crforward/regulate.go
@@ -9,7 +9,8 @@
 
 // Figures of the lines that tell of the regulation.
 const (
-	// pressureStep is the change of the pressure that is told, and pressureEvery the least time between two lines.
+	// pressureStep is the change of the pressure that is told, and pressureEvery the least time between two lines. A pressure
+	// above 1 is told each time, changed or not.
 	pressureStep  = 0.2
 	pressureEvery = time.Second
 )
@@ -18,7 +19,8 @@
 func (g *gate) step(now time.Time) {
 	g.regulator.Tick(now)
 	pressure := g.regulator.Pressure()
-	if math.Abs(pressure-g.told) < pressureStep || now.Sub(g.toldAt) < pressureEvery {
+	changed := math.Abs(pressure-g.told) >= pressureStep
+	if !changed && pressure <= 1 || now.Sub(g.toldAt) < pressureEvery {
 		return
 	}
 	g.told, g.toldAt = pressure, now
