crcost, crforward: what a route costs is told when it is whole, and only by who measured it

Cause: partial knowledge passed on as whole. (1) A server told what its runs take before it knew which requests are its calls, and calls from before that were missing from the regression for its whole memory of 20 s. (2) With hints, an entrance took the first such cost for good, and gates told what they had been hinted until they had ended 20 runs, so that wrong costs went round. Ruled out: late news of the pressure (the entrances knew it: price-look was turned away for it at the same time); the first answers alone (the costs stood for 8 s). Change: a cost is told after three runs and a solution that has seen them, when all calls of the runs are known to be calls and what they cost is known; a new kind of call begins the regression anew. Gates tell what they measured only. An entrance takes the mean of its first answers, gives way to others until it has five, and passes on no cost that rests on fewer.

--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -55,7 +55,7 @@
 		out.Services = append(out.Services, serviceView{s.name, s.router.View(now), s.retries.Denied()})
 	}
 	n.services.mu.Unlock()
-	for _, h := range n.learned() {
+	for _, h := range n.learned(1) {
 		out.Routes = append(out.Routes, routeView{h.GetRoute(), origin(h.GetOrigin()) == originClients, h.GetCostMs()})
 	}
 	for _, e := range n.suspects.report(now) {
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -76,7 +76,7 @@
 			c.origin = originClients
 		}
 	}
-	if c.origin == originClients && n.costs.of(route.Name) == nil {
+	if c.origin == originClients && n.costs.of(route.Name).cost == nil {
 		n.unlearned.Store(true)
 	}
 	c.worth = uint32(topWorth - min(max(route.Priority, 0), topWorth-1))
@@ -149,6 +149,8 @@
 	start := time.Now()
 	if c.origin == originServers {
 		n.ledger.CallStarted(c.route)
+	} else {
+		defer n.ledger.Doubtful()()
 	}
 	r, tries := n.place(ctx, c, route)
 	good := answered(r)
@@ -156,7 +158,7 @@
 		n.callFailed.Store(time.Now().UnixNano())
 	}
 	if c.origin == originServers {
-		n.ledger.CallEnded(c.route, time.Since(start), good, n.costs.of(c.route))
+		n.ledger.CallEnded(c.route, time.Since(start), good, n.costs.of(c.route).cost)
 	}
 	return r, tries
 }
--- a/internal/crforward/hints.go
+++ b/internal/crforward/hints.go
@@ -20,9 +20,6 @@
 	unlearnedInterval = 300 * time.Millisecond
 	// hintTimeout bounds one report.
 	hintTimeout = time.Second
-	// enoughRuns is how many runs of a route the backend server has ended when its own figures replace what others learned: the
-	// mean of fewer is off by a quarter or more.
-	enoughRuns = 20
 )
 
 // hintTie is what was exchanged with one coordinator.
@@ -70,7 +67,7 @@
 
 func (n *Node) exchangeHints(ctx context.Context, t *hintTie, want bool) error {
 	news := &crwire.RouteHints{Want: want, Since: t.since}
-	for _, h := range n.learned() {
+	for _, h := range n.learned(enoughAnswers) {
 		if t.told.Tell(h) > 0 {
 			news.Hints = append(news.Hints, h)
 		}
@@ -93,13 +90,16 @@
 	return nil
 }
 
-// learned returns what this node knows of routes.
-func (n *Node) learned() []*crwire.RouteHint {
+// learned returns what this node knows of routes, without costs that rest on fewer answers.
+func (n *Node) learned(answers int) []*crwire.RouteHint {
 	var out []*crwire.RouteHint
 	origins := n.origins.copied()
-	for route, costs := range n.costs.copied() {
+	for route, known := range n.costs.copied() {
+		if known.answers < answers {
+			continue
+		}
 		h := &crwire.RouteHint{Route: route, Origin: uint32(origins[route]), CostMs: map[string]float32{}}
-		for service, seconds := range costs {
+		for service, seconds := range known.cost {
 			h.CostMs[service] = float32(seconds * 1000)
 		}
 		delete(origins, route)
@@ -111,7 +111,7 @@
 	return out
 }
 
-// adopt takes a hint where this node has learned nothing itself.
+// adopt takes a hint where this node has learned too little itself.
 func (n *Node) adopt(h *crwire.RouteHint) {
 	if o := origin(h.GetOrigin()); o == originClients || o == originServers {
 		n.origins.seed(h.GetRoute(), o)
@@ -123,16 +123,6 @@
 	for service, ms := range h.GetCostMs() {
 		costs[service] = float64(ms) / 1000
 	}
-	n.costs.seed(h.GetRoute(), costs)
+	n.costs.adopt(h.GetRoute(), costs)
 	n.tellCost(time.Now(), h.GetRoute(), costHinted)
 }
-
-// costOf returns what a run of a route on the backend server costs: as others learned while the server has ended few.
-func (n *Node) costOf(route string) crcost.Vector {
-	if n.ledger.Runs(route) < enoughRuns {
-		if costs := n.costs.of(route); costs != nil {
-			return costs
-		}
-	}
-	return n.ledger.Cost(route)
-}
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -61,7 +61,7 @@
 func (n *Node) send(ctx context.Context, address string, c *call) *reply {
 	if address == n.Settings.Address {
 		r := n.gate.do(ctx, c)
-		r.cost = n.costOf(c.route)
+		r.cost = n.ledger.Cost(c.route)
 		return r
 	}
 	now := time.Now()
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -101,10 +101,16 @@
 	costEntries = 8
 	// costEvery is how many answers there are to one that tells costs; they change slowly.
 	costEvery = 8
-	// costFirst is how many answers after the start tell costs each, so that entrances learn them within a second.
+	// costFirst is how many of the first answers tell costs each, so that entrances learn them within a second.
 	costFirst = 256
 )
 
+// tellsCost reports whether an answer whose cost is known tells it.
+func (n *Node) tellsCost() bool {
+	k := n.answers.Add(1)
+	return k < costFirst || k%costEvery == 0
+}
+
 // formatAnswer writes how a call ended and what its sender may learn from it.
 func (n *Node) formatAnswer(c *call, r *reply, now time.Time) string {
 	load, pressure, excused := "", "", ""
@@ -121,8 +127,7 @@
 			board = append(board, url.QueryEscape(e.Service)+"="+strconv.FormatFloat(e.Pressure, 'f', 2, 64)+"/"+formatMilliseconds(e.Age))
 		}
 	}
-	if k := n.answers.Add(1); k < costFirst || k%costEvery == 0 {
-		costs := n.costOf(c.route)
+	if costs := n.ledger.Cost(c.route); costs != nil && n.tellsCost() {
 		for _, service := range costs.Top(costEntries) {
 			cost = append(cost, fmt.Sprintf("%s=%.0f", url.QueryEscape(service), costs[service]*1000))
 		}
--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -80,7 +80,7 @@
 
 // budget returns the budget of repeats of a call. Where its run makes no calls, none of them is repeated with it.
 func (n *Node) budget(s *service, c *call) *crbudget.Ratio {
-	costs := n.costs.of(c.route)
+	costs := n.costs.of(c.route).cost
 	if _, own := costs[c.service]; c.origin == originClients && own && len(costs) == 1 {
 		return s.leafRetries
 	}
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -15,26 +15,8 @@
 const (
 	// bindingCost is the least time that a request takes of a service for that service to bind it, in seconds.
 	bindingCost = 0.005
-	// costSmoothing is the weight of what one answer tells of a route's cost; servers tell means already.
-	costSmoothing = 0.2
 )
 
-// routeCosts is what the answers told of the costs of routes.
-type routeCosts struct{ byRoute[crcost.Vector] }
-
-func (r *routeCosts) learn(route string, told crcost.Vector) {
-	r.merge(route, told, func(old, told crcost.Vector) crcost.Vector {
-		next := crcost.Vector{}
-		for service, v := range old {
-			next[service] = v * (1 - costSmoothing)
-		}
-		for service, v := range told {
-			next[service] += v * costSmoothing
-		}
-		return next
-	})
-}
-
 // learn takes what an answer tells of the load below.
 func (n *Node) learn(now time.Time, node string, c *call, r *reply) {
 	if r.load != nil {
@@ -54,7 +36,7 @@
 // request that asks counts as offered to all services that it uses.
 func (n *Node) shareOf(now time.Time, route *crroute.Route, own string) (share float64, service string, pressure float64) {
 	share, service = 1, own
-	costs := n.costs.of(route.Name)
+	costs := n.costs.of(route.Name).cost
 	known := costs != nil
 	if !known {
 		// Until its cost is known a route is held to use every service.
@@ -86,7 +68,7 @@
 	if n.board.Pressure(now, c.service) > 1 {
 		return true
 	}
-	for s := range n.costs.of(c.route) {
+	for s := range n.costs.of(c.route).cost {
 		if n.board.Pressure(now, s) > 1 {
 			return true
 		}
--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -25,6 +25,12 @@
 	ridge = 2.0
 	// smoothing is the weight of one measurement in a moving average.
 	smoothing = 0.05
+	// leastRuns is how many runs of a kind a cost rests on at least.
+	leastRuns = 3
+	// leastShare is the number of outstanding calls for each run above which a kind of work is held to make such calls.
+	leastShare = 0.1
+	// doubtSmoothing is the weight of one sample in the averages of doubtful requests and runs, some tenths of a second in all.
+	doubtSmoothing = 0.1
 )
 
 // Vector holds seconds of service time by service.
@@ -40,10 +46,15 @@
 	calls   []string
 	running map[string]int
 	out     map[string]int
-	// ended counts the good ends of runs of kinds, times are their mean run times, waits mean times that calls take, below the vectors of calls.
-	ended        map[string]int
-	times, waits map[string]float64
-	below        map[string]Vector
+	// doubtful counts the outstanding requests that may be calls of the server or not, doubt and busy are moving averages of them
+	// and of the runs.
+	doubtful    int
+	doubt, busy float64
+	// ended counts the good ends of runs of kinds since the sums below began, settled those that the solution has seen; times are
+	// the mean run times, waits mean times that calls take, below the vectors of calls.
+	ended, settled map[string]int
+	times, waits   map[string]float64
+	below          map[string]Vector
 	// gram and cross are the sums of the regression of outstanding calls on runs.
 	gram  [maxKinds][maxKinds]float64
 	cross [maxKinds][maxKinds]float64
@@ -55,7 +66,7 @@
 
 func (l *Ledger) init() {
 	if l.running == nil {
-		l.running, l.out, l.ended = map[string]int{}, map[string]int{}, map[string]int{}
+		l.running, l.out, l.ended, l.settled = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 		l.times, l.waits, l.below = map[string]float64{}, map[string]float64{}, map[string]Vector{}
 	}
 }
@@ -69,7 +80,7 @@
 	note(&l.kinds, kind)
 }
 
-// Ended counts the end of a run; a run that failed tells nothing about the time.
+// Ended counts the end of a run; one that failed tells nothing about the time.
 func (l *Ledger) Ended(kind string, took time.Duration, good bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,20 +92,23 @@
 	}
 }
 
-// Runs returns how many runs of a kind have ended well.
-func (l *Ledger) Runs(kind string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.ended[kind]
-}
-
 // CallStarted counts a call that the server makes.
 func (l *Ledger) CallStarted(kind string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
 	l.out[kind]++
-	note(&l.calls, kind)
+	if note(&l.calls, kind) {
+		// Earlier calls of the kind were not counted, and would make it look rarer than it is.
+		l.restart()
+	}
+}
+
+// restart forgets what runs and calls were seen together.
+func (l *Ledger) restart() {
+	l.gram, l.cross, l.share = [maxKinds][maxKinds]float64{}, [maxKinds][maxKinds]float64{}, [maxKinds][maxKinds]float64{}
+	clear(l.ended)
+	clear(l.settled)
 }
 
 // CallEnded counts the end of a call; below is what the answer told of its own costs, nil for nothing.
@@ -111,10 +125,26 @@
 	}
 }
 
-func note(list *[]string, name string) {
-	if len(*list) < maxKinds && !slices.Contains(*list, name) {
-		*list = append(*list, name)
+// Doubtful counts a request of which it is not known whether the server makes it, until done is called. While there are many of
+// them beside the runs, no cost is known.
+func (l *Ledger) Doubtful() (done func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubtful++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.doubtful--
+	}
+}
+
+// note adds a name to a list that has room for it and reports whether it did.
+func note(list *[]string, name string) bool {
+	if len(*list) >= maxKinds || slices.Contains(*list, name) {
+		return false
 	}
+	*list = append(*list, name)
+	return true
 }
 
 func average(m map[string]float64, key string, v float64) {
@@ -142,6 +172,12 @@
 		keep = max(0, 1-float64(now.Sub(l.sampled))/float64(memory))
 	}
 	l.sampled = now
+	running := 0
+	for _, n := range l.running {
+		running += n
+	}
+	l.doubt += (float64(l.doubtful) - l.doubt) * doubtSmoothing
+	l.busy += (float64(running) - l.busy) * doubtSmoothing
 	for i, a := range l.kinds {
 		for j, b := range l.kinds {
 			l.gram[i][j] = keep*l.gram[i][j] + float64(l.running[a]*l.running[b])
@@ -171,6 +207,7 @@
 			l.share[i][j] = max(0, a[i][n])
 		}
 	}
+	maps.Copy(l.settled, l.ended)
 }
 
 // eliminate solves the linear system of n rows whose right side is in column n.
@@ -208,26 +245,27 @@
 // minCost is the smallest cost that is told, in seconds; less is within the error of the attribution.
 const minCost = 0.002
 
-// Cost returns what one run of the kind takes of each service, the server's own included.
+// Cost returns what one run of the kind takes of each service, the server's own included. It is nil until all of that is known:
+// a part of it would let in work for services that it leaves out.
 func (l *Ledger) Cost(kind string) Vector {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
 	t, ok := l.times[kind]
-	if !ok {
+	i := slices.Index(l.kinds, kind)
+	if !ok || i < 0 || l.settled[kind] < leastRuns || l.doubt > leastShare*l.busy {
 		return nil
 	}
 	v := Vector{l.Service: t}
-	i := slices.Index(l.kinds, kind)
-	if i < 0 {
-		return v
-	}
 	for j, c := range l.calls {
-		wait := l.waits[c]
-		if wait <= 0 || l.share[i][j] <= 0 {
+		wait, share := l.waits[c], l.share[i][j]
+		if share > leastShare && (wait <= 0 || l.below[c] == nil) {
+			return nil
+		}
+		if wait <= 0 || share <= 0 {
 			continue
 		}
-		calls := l.share[i][j] * t / wait
+		calls := share * t / wait
 		for service, seconds := range l.below[c] {
 			v[service] += calls * seconds
 		}
--- a/pkg/crcost/crcost_test.go
+++ b/pkg/crcost/crcost_test.go
@@ -100,3 +100,79 @@
 	v := crcost.Vector{"a": 1, "b": 3, "c": 2}
 	qt.Assert(t, v.Top(2), qt.DeepEquals, []string{"b", "c"})
 }
+
+// server replays runs of one kind in a row on one place, each with one call for three quarters of its time.
+type server struct {
+	ledger crcost.Ledger
+	now    time.Time
+}
+
+const (
+	runFor  = 200 * time.Millisecond
+	callFor = 150 * time.Millisecond
+)
+
+// run replays one run; call counts its call and returns what ends it.
+func (s *server) run(call func() (end func())) {
+	s.ledger.Started("look")
+	s.pass(runFor - callFor)
+	end := call()
+	s.pass(callFor)
+	end()
+	s.ledger.Ended("look", runFor, true)
+}
+
+func (s *server) pass(d time.Duration) {
+	for range int(d / crcost.SampleInterval) {
+		s.now = s.now.Add(crcost.SampleInterval)
+		s.ledger.Sample(s.now)
+	}
+}
+
+// called counts a call of which the answer tells the costs below.
+func (s *server) called(below crcost.Vector) func() func() {
+	return func() func() {
+		s.ledger.CallStarted("check")
+		return func() { s.ledger.CallEnded("check", callFor, true, below) }
+	}
+}
+
+// TestCostIsWhole guards against entrances that let a route in whatever the pressure on a deep service, because they were told
+// what its runs take of the first service only.
+func TestCostIsWhole(t *testing.T) {
+	s := &server{ledger: crcost.Ledger{Service: "routes"}, now: time.Unix(100, 0)}
+	for range 10 {
+		s.run(s.ledger.Doubtful)
+		qt.Assert(t, s.ledger.Cost("look"), qt.IsNil, qt.Commentf("it is not known yet who makes the calls"))
+	}
+	for range 10 {
+		s.run(s.called(nil))
+		qt.Assert(t, s.ledger.Cost("look"), qt.IsNil, qt.Commentf("it is not known yet what a call takes"))
+	}
+	for range 5 {
+		s.run(s.called(crcost.Vector{"prices": 0.1}))
+	}
+	got := s.ledger.Cost("look")
+	qt.Assert(t, got["prices"] > 0.08 && got["prices"] < 0.12, qt.IsTrue, qt.Commentf("%v, of 0.1 s", got))
+}
+
+// TestCallsCountedLate guards against a cost that stays too small for many seconds because the first calls were not counted.
+func TestCallsCountedLate(t *testing.T) {
+	s := &server{ledger: crcost.Ledger{Service: "routes"}, now: time.Unix(100, 0)}
+	for range 20 {
+		s.run(func() func() { return func() {} })
+	}
+	for range 5 {
+		s.run(s.called(crcost.Vector{"prices": 0.1}))
+	}
+	got := s.ledger.Cost("look")
+	qt.Assert(t, got["prices"] > 0.08 && got["prices"] < 0.12, qt.IsTrue, qt.Commentf("%v, of 0.1 s", got))
+}
+
+// TestFewRuns guards against a cost that rests on one run.
+func TestFewRuns(t *testing.T) {
+	s := &server{ledger: crcost.Ledger{Service: "routes"}, now: time.Unix(100, 0)}
+	s.run(func() func() { return func() {} })
+	s.pass(time.Second)
+	qt.Assert(t, s.ledger.Cost("look"), qt.IsNil)
+}
