crcost: each moment counts alike in the regression of calls on runs

Cause: a sample counted by the square of the runs. The first second of a flood, with ten times as many runs that wait or fail, decided for the memory of 20 s: on servers of daftari the regression held 0.4 to 1.1 calls under way for each herder-check (0.9 is right) and 0.5 to 2.6 for each sack-record, so that entrances held sack-record to take 0.4 s and route-look 0.11 s of the last service (0.24 s both), and turned both away alike, as kinds that are much cheaper than those above them lose no more than these. Ruled out: the times of runs and calls (right in the same lines); calls counted late (the regression begins anew with each kind). Change: a sample is divided by the square of its runs. Measured: TestFloodFades fails before (no calls at all seen).

--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -178,12 +178,14 @@
 	}
 	l.doubt += (float64(l.doubtful) - l.doubt) * doubtSmoothing
 	l.busy += (float64(running) - l.busy) * doubtSmoothing
+	// Each moment counts alike, so that a short flood does not decide for the whole memory.
+	weight := 1 / float64(max(running*running, 1))
 	for i, a := range l.kinds {
 		for j, b := range l.kinds {
-			l.gram[i][j] = keep*l.gram[i][j] + float64(l.running[a]*l.running[b])
+			l.gram[i][j] = keep*l.gram[i][j] + weight*float64(l.running[a]*l.running[b])
 		}
 		for j, c := range l.calls {
-			l.cross[i][j] = keep*l.cross[i][j] + float64(l.running[a]*l.out[c])
+			l.cross[i][j] = keep*l.cross[i][j] + weight*float64(l.running[a]*l.out[c])
 		}
 	}
 	if now.Sub(l.solvedAt) >= solveInterval {
--- a/pkg/crcost/crcost_test.go
+++ b/pkg/crcost/crcost_test.go
@@ -176,3 +176,26 @@
 	s.pass(time.Second)
 	qt.Assert(t, s.ledger.Cost("look"), qt.IsNil)
 }
+
+// TestFloodFades guards against costs that a second of flood, in which calls are refused or wait without an end, decides for
+// as long as it is remembered: runs then are many, and say little of what they take.
+func TestFloodFades(t *testing.T) {
+	const flooded = 40
+	s := &server{ledger: crcost.Ledger{Service: "routes"}, now: time.Unix(100, 0)}
+	below := crcost.Vector{"prices": 0.1}
+	for range 5 {
+		s.run(s.called(below))
+	}
+	for range flooded {
+		s.ledger.Started("look")
+	}
+	s.pass(time.Second)
+	for range flooded {
+		s.ledger.Ended("look", time.Second, false)
+	}
+	for range 15 {
+		s.run(s.called(below))
+	}
+	got := s.ledger.Cost("look")
+	qt.Assert(t, got["prices"] > 0.07 && got["prices"] < 0.12, qt.IsTrue, qt.Commentf("%v, of 0.1 s", got))
+}
