crcost: moments in which runs are cut short count little in the regression

Cause: runs that end at their first failed call have few calls under way. Ruled out: times of runs and calls, which are those of good ones only. Change: a sample counts by the part of the server's latest runs that ended with an answer.

--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -25,6 +25,8 @@
 	ridge = 2.0
 	// smoothing is the weight of one measurement in a moving average.
 	smoothing = 0.05
+	// lostSmoothing is the weight of one run in the part of runs that are lost, which has to follow within a few of them.
+	lostSmoothing = 0.2
 	// leastRuns is how many runs of a kind a cost rests on at least.
 	leastRuns = 3
 	// leastShare is the number of outstanding calls for each run above which a kind of work is held to make such calls.
@@ -50,6 +52,8 @@
 	// and of the runs.
 	doubtful    int
 	doubt, busy float64
+	// lost is the part of the runs that ended without a good answer, of late.
+	lost float64
 	// ended counts the good ends of runs of kinds since the sums below began, settled those that the solution has seen; times are
 	// the mean run times, waits mean times that calls take, below the vectors of calls.
 	ended, settled map[string]int
@@ -86,10 +90,13 @@
 	defer l.mu.Unlock()
 	l.init()
 	l.running[kind] = max(l.running[kind]-1, 0)
-	if good {
-		l.ended[kind]++
-		average(l.times, kind, took.Seconds())
+	if !good {
+		l.lost += (1 - l.lost) * lostSmoothing
+		return
 	}
+	l.lost -= l.lost * lostSmoothing
+	l.ended[kind]++
+	average(l.times, kind, took.Seconds())
 }
 
 // CallStarted counts a call that the server makes.
@@ -178,8 +185,9 @@
 	}
 	l.doubt += (float64(l.doubtful) - l.doubt) * doubtSmoothing
 	l.busy += (float64(running) - l.busy) * doubtSmoothing
-	// Each moment counts alike, so that a short flood does not decide for the whole memory.
-	weight := 1 / float64(max(running*running, 1))
+	// Each moment counts alike, so that a short flood does not decide for the whole memory, but for those in which runs are cut
+	// short: they say little of what a whole one takes.
+	weight := (1 - l.lost) / float64(max(running*running, 1))
 	for i, a := range l.kinds {
 		for j, b := range l.kinds {
 			l.gram[i][j] = keep*l.gram[i][j] + weight*float64(l.running[a]*l.running[b])
--- a/pkg/crcost/crcost_test.go
+++ b/pkg/crcost/crcost_test.go
@@ -199,3 +199,28 @@
 	got := s.ledger.Cost("look")
 	qt.Assert(t, got["prices"] > 0.07 && got["prices"] < 0.12, qt.IsTrue, qt.Commentf("%v, of 0.1 s", got))
 }
+
+// TestShortRuns guards against costs that are too small for as long as is remembered because chains were cut short for a while: their
+// runs end at the first call.
+func TestShortRuns(t *testing.T) {
+	const shortCall = 20 * time.Millisecond
+	s := &server{ledger: crcost.Ledger{Service: "routes"}, now: time.Unix(100, 0)}
+	below := crcost.Vector{"prices": 0.1}
+	for range 25 {
+		s.run(s.called(below))
+	}
+	// Nothing passes for 8 s.
+	for range 80 {
+		s.ledger.Started("look")
+		s.pass(100*time.Millisecond - shortCall)
+		s.ledger.CallStarted("check")
+		s.pass(shortCall)
+		s.ledger.CallEnded("check", shortCall, false, nil)
+		s.ledger.Ended("look", 100*time.Millisecond, false)
+	}
+	for range 5 {
+		s.run(s.called(below))
+	}
+	got := s.ledger.Cost("look")
+	qt.Assert(t, got["prices"] > 0.08 && got["prices"] < 0.12, qt.IsTrue, qt.Commentf("%v, of 0.1 s", got))
+}
