--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -40,8 +40,8 @@
 	once bool
 	// counted is set once a gate has counted the call as asked for.
 	counted bool
-	// lets is what was let in when the client's request was that the call belongs to.
-	lets crshed.Lets
+	// rates is what was let in when the client's request was that the call belongs to.
+	rates crshed.Rates
 	// origin tells whether clients or servers send the requests of the route, as far as known.
 	origin origin
 	// prints tell requests with the same content.
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -92,9 +92,9 @@
 		// The client has left while the request waited behind another.
 		panic(http.ErrAbortHandler)
 	}
-	c.lets = n.gate.roots.Lets()
+	c.rates = n.gate.roots.Rates()
 	if c.origin == originClients {
-		c.lets = n.letsOf(now, route)
+		c.rates = n.ratesOf(now, route)
 	}
 	if r := n.admit(now, c, route); r != nil {
 		n.finishBody(w, c)
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -248,7 +248,7 @@
 	takes := g.limiter.RunTime(c.route)
 	if !c.counted {
 		c.counted = true
-		g.regulator.Arrived(takes, c.lets.Of(c.service))
+		g.regulator.Arrived(takes, c.rates.Of(c.service))
 	}
 	if g.queue.Len() == 0 && g.limiter.Acquire(now) {
 		g.occupied(now)
@@ -378,9 +378,9 @@
 	}
 	g.node.ledger.Started(c.route)
 	started := time.Now()
-	g.roots.Began(c.lets)
+	g.roots.Began(c.rates)
 	r := g.exchange(ctx, c, l, waited)
-	g.roots.Ended(c.lets)
+	g.roots.Ended(c.rates)
 	g.node.Counters.Observe(waitTime+c.service, waited)
 	g.node.Counters.Observe(runTime+c.service, r.took)
 	r.excused = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
--- a/internal/crforward/headers.go
+++ b/internal/crforward/headers.go
@@ -22,7 +22,7 @@
 func passedOn(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for k, v := range h {
-		if k != hopHeader && k != suspectHeader && k != letsHeader {
+		if k != hopHeader && k != suspectHeader && k != ratesHeader {
 			out[k] = v
 		}
 	}
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -124,8 +124,8 @@
 func (n *Node) hopRequest(c *call, now time.Time) *crexchange.Request {
 	h := passedOn(c.header)
 	h.Set(hopHeader, formatCall(c, now))
-	if lets := formatLets(c); lets != "" {
-		h.Set(letsHeader, lets)
+	if rates := formatRates(c); rates != "" {
+		h.Set(ratesHeader, rates)
 	}
 	if known := n.suspects.header(now, c.prints); known != "" {
 		h.Set(suspectHeader, known)
@@ -142,7 +142,7 @@
 	if err := parseCall(r.Header.Get(hopHeader), c, now); err != nil {
 		return c, err
 	}
-	return c, parseLets(r.Header.Get(letsHeader), c)
+	return c, parseRates(r.Header.Get(ratesHeader), c)
 }
 
 // heard takes what another node knows of a request that may crash servers.
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -50,7 +50,7 @@
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
 		strconv.FormatUint(uint64(c.worth), 36), url.QueryEscape(c.caller), flags,
-		formatMilliseconds(c.due.Sub(now)), strconv.FormatFloat(c.lets.Of(c.service), 'f', letsDigits, 64),
+		formatMilliseconds(c.due.Sub(now)), strconv.FormatFloat(c.rates.Of(c.service), 'f', rateDigits, 64),
 	}, ";")
 }
 
@@ -75,7 +75,7 @@
 	c.once = strings.Contains(f[callFlags], flagOnce)
 	c.idle = strings.Contains(f[callFlags], flagIdle)
 	c.counted = strings.Contains(f[callFlags], flagCounted)
-	c.lets = crshed.Lets{c.service: share}
+	c.rates = crshed.Rates{c.service: share}
 	return nil
 }
 
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -62,19 +62,19 @@
 	return share, service, pressure
 }
 
-// letsOf returns which part of the work offered for the services that a route uses is let in.
-func (n *Node) letsOf(now time.Time, route *crroute.Route) crshed.Lets {
+// ratesOf returns which part of the work offered for the services that a route uses is let in.
+func (n *Node) ratesOf(now time.Time, route *crroute.Route) crshed.Rates {
 	costs := n.costs.of(route.Name).cost
 	if costs == nil {
 		costs = n.services.everything()
 	}
-	lets := crshed.Lets{}
+	rates := crshed.Rates{}
 	for s := range costs {
 		if p := n.board.Pressure(now, s); p > 1 {
-			lets[s] = n.shares.Passed(now, s, p)
+			rates[s] = n.shares.Passed(now, s, p)
 		}
 	}
-	return lets
+	return rates
 }
 
 // pressed reports whether a service that the call's route uses is asked for more than it can do: late answers are then due to
--- a/internal/crforward/lets_test.go
+++ b/internal/crforward/rates_test.go
@@ -11,33 +11,33 @@
 	"github.com/citronramp/citronramp/pkg/crshed"
 )
 
-// TestLetsHop guards against a call that loses on its way between nodes what was let in when its request was, and against lines of
+// TestRatesHop guards against a call that loses on its way between nodes what was let in when its request was, and against lines of
 // other nodes that are believed without bounds.
-func TestLetsHop(t *testing.T) {
+func TestRatesHop(t *testing.T) {
 	now := time.Unix(1, 0)
 	n := &Node{}
 	sent := &call{
 		id: "x", service: "photos", route: "/p/", deadline: now.Add(time.Second), due: now.Add(time.Second),
-		lets: crshed.Lets{"photos": 0.5, "prices & more": 0.125, "ledger": 1},
+		rates: crshed.Rates{"photos": 0.5, "prices & more": 0.125, "ledger": 1},
 	}
 	h := n.hopRequest(sent, now).Header
 	got, err := parseHop(&http.Request{Header: h}, "X-Id", now)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, got.lets, qt.DeepEquals, crshed.Lets{"photos": 0.5, "prices & more": 0.125})
+	qt.Assert(t, got.rates, qt.DeepEquals, crshed.Rates{"photos": 0.5, "prices & more": 0.125})
 	qt.Assert(t, passedOn(h), qt.HasLen, 0, qt.Commentf("servers see nothing of it"))
 
 	// A node of an earlier release tells of the service of the call only.
-	h.Del(letsHeader)
+	h.Del(ratesHeader)
 	got, err = parseHop(&http.Request{Header: h}, "X-Id", now)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, got.lets.Of("photos"), qt.Equals, 0.5)
-	qt.Assert(t, got.lets.Of("prices & more"), qt.Equals, 1.0)
+	qt.Assert(t, got.rates.Of("photos"), qt.Equals, 0.5)
+	qt.Assert(t, got.rates.Of("prices & more"), qt.Equals, 1.0)
 
-	h.Set(letsHeader, "a=0.5,b=x")
+	h.Set(ratesHeader, "a=0.5,b=x")
 	_, err = parseHop(&http.Request{Header: h}, "X-Id", now)
 	qt.Assert(t, crcode.Of(err), qt.Equals, crcode.MalformedMessage)
-	h.Set(letsHeader, "a=0.1,b=0.1,c=0.1,d=0.1,e=0.1,f=0.1")
+	h.Set(ratesHeader, "a=0.1,b=0.1,c=0.1,d=0.1,e=0.1,f=0.1")
 	got, err = parseHop(&http.Request{Header: h}, "X-Id", now)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, got.lets, qt.HasLen, letsEntries+1)
+	qt.Assert(t, got.rates, qt.HasLen, rateEntries+1)
 }
--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -86,8 +86,8 @@
 	// due is when the answer is late by the target of its kind.
 	due    time.Duration
 	deeper bool
-	// lets is what was let in when the client's request was.
-	lets crshed.Lets
+	// rates is what was let in when the client's request was.
+	rates crshed.Rates
 	// counted is set once a gate has counted it as asked for.
 	counted bool
 	done    func(good, refused bool)
@@ -286,21 +286,21 @@
 func (m *model) enter(k *Kind, at *node, done func(good, refused bool)) {
 	unlearned := false
 	m.phase(func(p Phase) { unlearned = unlearned || p.Unlearned })
-	lets := crshed.Lets{}
+	rates := crshed.Rates{}
 	if m.load.Control == ControlShed && !unlearned {
 		share := 1.0
 		for s, seconds := range m.costs[k.Name] {
 			pressure := at.board.Pressure(m.clock(), s)
 			at.shares.Offer(m.clock(), s, k.Priority, time.Duration(seconds*float64(time.Second)))
 			share = min(share, at.shares.Share(m.clock(), s, k.Priority, pressure))
-			lets[s] = at.shares.Passed(m.clock(), s, pressure)
+			rates[s] = at.shares.Passed(m.clock(), s, pressure)
 		}
 		if !at.shares.Admit(k.Name, share) {
 			done(false, true)
 			return
 		}
 	}
-	m.send(&work{kind: k, node: at, lets: lets, deadline: m.now + time.Duration(k.Timeout), due: m.now + k.target(), done: done}, nil)
+	m.send(&work{kind: k, node: at, rates: rates, deadline: m.now + time.Duration(k.Timeout), due: m.now + k.target(), done: done}, nil)
 }
 
 // hint returns when a client that was turned away is told to come back.
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -150,7 +150,7 @@
 	need := m.expected(s, w.kind)
 	if !w.counted {
 		w.counted = true
-		s.regulator.Arrived(need, w.lets.Of(s.service.Name))
+		s.regulator.Arrived(need, w.rates.Of(s.service.Name))
 	}
 	run := func() {
 		if m.rejects(s) {
@@ -158,11 +158,11 @@
 			return
 		}
 		s.running++
-		s.node.roots.Began(w.lets)
+		s.node.roots.Began(w.rates)
 		m.occupied(s)
 		m.run(s, w, func(good bool) {
 			s.running--
-			s.node.roots.Ended(w.lets)
+			s.node.roots.Ended(w.rates)
 			if good {
 				answer(answered)
 			} else {
@@ -261,7 +261,7 @@
 		waiting := len(calls[i])
 		for _, k := range calls[i] {
 			deadline := min(w.deadline, m.now+time.Duration(k.Timeout))
-			m.send(&work{kind: k, node: s.node, lets: s.node.roots.Lets(), deadline: deadline, due: min(deadline, m.now+k.target()), deeper: true, done: func(good, _ bool) {
+			m.send(&work{kind: k, node: s.node, rates: s.node.roots.Rates(), deadline: deadline, due: min(deadline, m.now+k.target()), deeper: true, done: func(good, _ bool) {
 				if !good {
 					end(false)
 					return
--- a/pkg/crshed/crshed_test.go
+++ b/pkg/crshed/crshed_test.go
@@ -187,18 +187,18 @@
 // TestRoots guards against calls that carry what is let in now in place of what was when the requests came that they belong to.
 func TestRoots(t *testing.T) {
 	var r crshed.Roots
-	qt.Assert(t, r.Lets(), qt.IsNil)
-	early, late := crshed.Lets{}, crshed.Lets{"deep": 0.25, "wide": 1}
+	qt.Assert(t, r.Rates(), qt.IsNil)
+	early, late := crshed.Rates{}, crshed.Rates{"deep": 0.25, "wide": 1}
 	r.Began(early)
 	r.Began(late)
 	// One stands for itself, one for four.
-	qt.Assert(t, r.Lets(), qt.DeepEquals, crshed.Lets{"deep": 0.4})
+	qt.Assert(t, r.Rates(), qt.DeepEquals, crshed.Rates{"deep": 0.4})
 	r.Ended(early)
-	qt.Assert(t, r.Lets(), qt.DeepEquals, crshed.Lets{"deep": 0.25})
+	qt.Assert(t, r.Rates(), qt.DeepEquals, crshed.Rates{"deep": 0.25})
 	r.Ended(late)
-	qt.Assert(t, r.Lets(), qt.IsNil)
+	qt.Assert(t, r.Rates(), qt.IsNil)
 	for share, want := range map[float64]float64{0: 1 / crshed.MaxPressure, -1: 1 / crshed.MaxPressure, math.NaN(): 1 / crshed.MaxPressure, 2: 1} {
-		qt.Assert(t, crshed.Lets{"deep": share}.Of("deep"), qt.Equals, want, qt.Commentf("%v", share))
+		qt.Assert(t, crshed.Rates{"deep": share}.Of("deep"), qt.Equals, want, qt.Commentf("%v", share))
 	}
 	qt.Assert(t, early.Of("deep"), qt.Equals, 1.0)
 }
--- a/pkg/crshed/roots.go
+++ b/pkg/crshed/roots.go
@@ -2,13 +2,13 @@
 
 import "sync"
 
-// Lets holds by service the part of the work offered for it that was let in when a request of a client was; a service that
+// Rates holds by service the part of the work offered for it that was let in when a request of a client was; a service that
 // it leaves out lets everything in.
-type Lets map[string]float64
+type Rates map[string]float64
 
 // Of returns the part of a service, within the bounds of a pressure.
-func (l Lets) Of(service string) float64 {
-	v, ok := l[service]
+func (r Rates) Of(service string) float64 {
+	v, ok := r[service]
 	if !ok {
 		return 1
 	}
@@ -33,20 +33,20 @@
 }
 
 // Began adds a run.
-func (r *Roots) Began(lets Lets) { r.add(lets, 1) }
+func (r *Roots) Began(rates Rates) { r.add(rates, 1) }
 
-// Ended takes out a run that began with the same lets.
-func (r *Roots) Ended(lets Lets) { r.add(lets, -1) }
+// Ended takes out a run that began with the same rates.
+func (r *Roots) Ended(rates Rates) { r.add(rates, -1) }
 
-func (r *Roots) add(lets Lets, runs int) {
+func (r *Roots) add(rates Rates, runs int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.more == nil {
 		r.more = map[string]float64{}
 	}
 	r.runs += runs
-	for service := range lets {
-		r.more[service] += (1/lets.Of(service) - 1) * float64(runs)
+	for service := range rates {
+		r.more[service] += (1/rates.Of(service) - 1) * float64(runs)
 	}
 	if r.runs <= 0 {
 		// What is left are errors of rounding.
@@ -54,15 +54,15 @@
 	}
 }
 
-// Lets returns what a call of one of the runs carries; nil lets everything in.
-func (r *Roots) Lets() Lets {
+// Rates returns what a call of one of the runs carries; nil rates everything in.
+func (r *Roots) Rates() Rates {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out Lets
+	var out Rates
 	for service, more := range r.more {
 		if r.runs > 0 && more > roundingError*float64(r.runs) {
 			if out == nil {
-				out = Lets{}
+				out = Rates{}
 			}
 			out[service] = 1 / (1 + more/float64(r.runs))
 		}
