crforward: the rates of the server's runs are computed for its calls only

Cause: each request of a client computed them as well, under a lock and with a map, and threw them away. Change: one of the two is computed. No behaviour changes.

--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -92,9 +92,10 @@
 		// The client has left while the request waited behind another.
 		panic(http.ErrAbortHandler)
 	}
-	c.rates = n.gate.roots.Rates()
 	if c.origin == originClients {
 		c.rates = n.ratesOf(now, route)
+	} else {
+		c.rates = n.gate.roots.Rates()
 	}
 	if r := n.admit(now, c, route); r != nil {
 		n.finishBody(w, c)
