--- a/internal/crcontrol/crcontrol.go
+++ b/internal/crcontrol/crcontrol.go
@@ -128,6 +128,11 @@
 	c.run(func() { c.ended("directory", c.directory.Run(ctx)) })
 	c.run(func() { c.confirmLoop(ctx) })
 	c.run(func() { c.keeperLoop(ctx) })
+	c.run(func() {
+		cradmin.WatchSuspensions(ctx, &c.Counters, func(slept time.Duration) {
+			_ = level.Info(c.Logger).Log("msg", "the machine was suspended", "took", slept)
+		})
+	})
 	c.run(func() { c.ended("operator", cradmin.Serve(ctx, c.Operator, c.operatorHandler())) })
 	c.run(func() {
 		c.ended("admin", cradmin.Serve(ctx, c.Admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -142,6 +142,11 @@
 	c.wg.Go(func() { c.repairLoop(ctx) })
 	c.wg.Go(func() { c.standingLoop(ctx) })
 	c.wg.Go(func() { c.hintsFile().loop(ctx) })
+	c.wg.Go(func() {
+		cradmin.WatchSuspensions(ctx, &c.Counters, func(slept time.Duration) {
+			c.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept, crevent.KeyTerm, c.replica.Status().Term)
+		})
+	})
 	c.wg.Go(func() { c.noticesFile().loop(ctx) })
 	c.wg.Go(func() { c.ended("api", cradmin.Serve(ctx, c.API, c.Handler)) })
 	if c.Admin != nil {
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -137,10 +137,15 @@
 	if c.replica.Status().Role != crlog.Leader {
 		return nil, crcode.New(crcode.NoLeader, "this coordinator does not lead")
 	}
-	if _, err := c.replica.ReadIndex(ctx); err != nil {
+	began := time.Now()
+	index, err := c.replica.ReadIndex(ctx)
+	if err != nil {
 		return nil, err
 	}
 	d, _ := c.machine.Current()
+	now := time.Now()
+	c.Log.Emit(now, crevent.State, crevent.ConfigRead, crevent.KeyVersion, d.GetVersion(), crevent.KeyMember, c.replica.ID,
+		crevent.KeyTerm, c.replica.Status().Term, crevent.KeyIndex, index, crevent.KeyTook, now.Sub(began))
 	return d, nil
 }
 
--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -12,6 +12,7 @@
 	DependencyLost Event = "dependency_lost"
 	DependencyBack Event = "dependency_back"
 	LinesDropped   Event = "lines_dropped"
+	Suspended      Event = "suspended"
 	Message        Event = "message"
 )
 
@@ -39,6 +40,7 @@
 	ConfigAccepted   Event = "config_accepted"
 	ConfigRefused    Event = "config_refused"
 	ConfigUnclear    Event = "config_unclear"
+	ConfigRead       Event = "config_read"
 	LeaderChanged    Event = "leader_changed"
 	MemberChange     Event = "member_change"
 	PressureChanged  Event = "pressure_changed"
@@ -77,6 +79,7 @@
 	KeyCount    = "count"
 	KeyOf       = "of"
 	KeyTerm     = "term"
+	KeyIndex    = "index"
 	KeyMember   = "member"
 	KeyAction   = "action"
 	KeyError    = "err"
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -141,6 +141,11 @@
 	n.wg.Go(func() { n.follow(duties, secondTie) })
 	n.wg.Go(func() { n.gate.watch(duties) })
 	n.wg.Go(func() { n.measure(duties) })
+	n.wg.Go(func() {
+		cradmin.WatchSuspensions(duties, &n.Counters, func(slept time.Duration) {
+			n.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept)
+		})
+	})
 	n.started.Store(true)
 	n.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyService, n.Settings.Service, crevent.KeyAddress, n.Settings.Address)
 	<-ctx.Done()
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -65,6 +65,11 @@
 	p.run(ctx, n.quarantineLoop)
 	p.run(ctx, n.convictLoop)
 	p.run(ctx, p.confirmLoop)
+	p.run(ctx, func(ctx context.Context) {
+		cradmin.WatchSuspensions(ctx, &n.Counters, func(slept time.Duration) {
+			_ = level.Info(n.Logger).Log("msg", "the machine was suspended", "took", slept)
+		})
+	})
 	p.run(ctx, func(context.Context) { p.failed("callers", p.http.Serve(n.Callers)) })
 	return p, nil
 }
