crlog: a read waits for a heartbeat round of a majority; the lease allows none

Seen: a leader whose machine was suspended for 3 s answered a read with version 1 after 3 had been acknowledged elsewhere. Cause: the read was allowed while the leader's lease held by its own clock, and that clock had stood still. The class: a promise about the present that is measured on a clock which may stop, or looked at before the act. Ruled out: overlapping leases without a suspension (8,000 cases of the model without one). Change: a read waits for a round that begins after it came; whoever answers it had not voted for another leader before. No clock decides, so it also holds where only steady time exists and when the machine sleeps between the look and the answer. A waiting read brings the next round forward to 10 ms after it; all that wait share it. A read whose answer is late is asked again after longer and longer times, since every answer now takes a round trip.

--- a/internal/crreplica/command.go
+++ b/internal/crreplica/command.go
@@ -33,6 +33,8 @@
 	answer  chan answer
 	readID  uint64
 	retryAt time.Time
+	// tries is how often the read was asked for.
+	tries int
 }
 
 // answer is the end of a command.
--- a/internal/crreplica/crreplica.go
+++ b/internal/crreplica/crreplica.go
@@ -32,7 +32,8 @@
 	tick        = 10 * time.Millisecond
 	// drainLimit bounds the messages and commands of one round, so that timers run in between.
 	drainLimit = 1024
-	// readRetry is how long an answer to a read may take before it is asked for again.
+	// readRetry is how long an answer to a read may take before it is asked for again; later ones may take longer, since the
+	// link to the leader may be slow.
 	readRetry = 200 * time.Millisecond
 	// transferLimit bounds how long a leader refuses proposals while it looks for a successor.
 	transferLimit = time.Second
--- a/internal/crreplica/loop.go
+++ b/internal/crreplica/loop.go
@@ -185,7 +185,8 @@
 
 func (r *Replica) startRead(now time.Time, c *command) {
 	r.nextRead++
-	c.readID, c.retryAt = r.nextRead, now.Add(readRetry)
+	c.tries++
+	c.readID, c.retryAt = r.nextRead, now.Add(time.Duration(c.tries)*readRetry)
 	r.reads[c.readID] = c
 	r.node.ReadIndex(now, c.readID)
 }
--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -106,6 +106,9 @@
 	maxUncommitted = 16 << 20
 )
 
+// readBeats is how many heartbeat rounds reads may cause in the time between two regular ones; those that wait share one.
+const readBeats = 10
+
 // leasePercent is the part of Lease that a leader counts on. Clocks may run 1% fast or slow, so the leader's part must
 // be below 100 * 0.99 / 1.01 = 98.02.
 const leasePercent = 98
--- a/pkg/crlog/read.go
+++ b/pkg/crlog/read.go
@@ -23,19 +23,20 @@
 	}
 }
 
-// stepRead allows a read under the lease, or after the next heartbeat round when the lease has run out.
+// stepRead lets a read wait for the next heartbeat round. A majority that answers it had no other leader when the read came.
+// The lease would say so without a round, but only if the clock went on since it was granted, also while the machine was
+// suspended.
 func (n *Node) stepRead(now time.Time, m Message) {
 	r := pendingRead{id: m.ID, from: m.From, address: m.FromAddress, index: n.commit}
 	if n.role != Leader || n.log.term(n.commit) != n.hard.Term || len(n.lead.reads) >= maxReads {
 		n.answerRead(r, false)
 		return
 	}
-	if n.leads(now) {
-		n.answerRead(r, true)
-		return
-	}
 	r.round = n.lead.round + 1
 	n.lead.reads = append(n.lead.reads, r)
+	if soon := now.Add(n.cfg.Heartbeat / readBeats); soon.Before(n.lead.nextBeat) {
+		n.lead.nextBeat = soon
+	}
 }
 
 func (n *Node) answerRead(r pendingRead, ok bool) {
