crreplica, crcoord: a coordinator is confirmed by a read since the question, not by the lease that it was told

Seen (by test): a coordinator that has just lost the majority, or slept, tells a node that comes then that its document is confirmed; a node takes its first document on that word. "Confirmed" was the rest of the leader's lease, told in heartbeats and counted from their arrival by the steady clock: a heartbeat that is held up on its way, and a machine that sleeps, make it longer. Ruled out: a longer or shorter lease; what is counted from an arrival is unsafe for any length. Change: Confirmation (crcontrol had one of its own, now one copy) asks the leader for a read four times a second; what counts is the time of the last question that was answered, for 1 s, by crclock. A feed begins confirmed only when the question came after the node, so no clock decides that; it is asked at once then. The log counts its own lease by crclock as well. Followers are no longer told the lease: a follower of an earlier release under a leader of this one is not confirmed, its nodes hold to other coordinators during an upgrade. TestFollowerOfIsolatedLeader asks for reads in place of the told lease; they are refused from the cut on, before it was 1.04 s later.

--- a/internal/crcontrol/crcontrol.go
+++ b/internal/crcontrol/crcontrol.go
@@ -17,6 +17,7 @@
 	"github.com/citronramp/citronramp/internal/crsettings"
 	"github.com/citronramp/citronramp/internal/crspread"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 )
 
 // Control is one control instance; set the exported fields, then call Run once.
@@ -35,7 +36,7 @@
 	replica   *crreplica.Replica
 	root      *crspread.Root
 	directory *crdirectory.Server
-	confirm   *confirmation
+	confirm   crreplica.Confirmation
 	// handovers is used by keeperLoop only.
 	handovers handovers
 
@@ -81,11 +82,11 @@
 		Mux:       &crwire.Mux{},
 		OnRefused: func(net.Addr, error) { c.Counters.Add("inner_refused", 1) },
 	}
-	c.confirm = newConfirmation()
-	c.machine = newMachine(c.confirm.valid)
+	c.machine = newMachine(func() bool { return c.confirm.Valid(crclock.Now()) })
 	if err := c.openReplica(ctx); err != nil {
 		return err
 	}
+	c.confirm = crreplica.Confirmation{Reader: c.replica, OnFailure: func() { c.Counters.Add("confirmations_failed", 1) }}
 	c.root = &crspread.Root{
 		Config: crspread.Config{
 			Name: c.Settings.Name, Incarnation: c.endpoint.Identity.Self.Incarnation, Domain: c.Settings.Domain,
@@ -126,7 +127,7 @@
 	})
 	c.run(func() { c.ended("tree", c.root.Run(ctx)) })
 	c.run(func() { c.ended("directory", c.directory.Run(ctx)) })
-	c.run(func() { c.confirmLoop(ctx) })
+	c.run(func() { c.confirm.Run(ctx) })
 	c.run(func() { c.keeperLoop(ctx) })
 	c.run(func() {
 		cradmin.WatchSuspensions(ctx, &c.Counters, func(slept time.Duration) {
--- a/internal/crcontrol/query.go
+++ b/internal/crcontrol/query.go
@@ -9,6 +9,7 @@
 	"github.com/citronramp/citronramp/internal/crlang"
 	"github.com/citronramp/citronramp/internal/crprint"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlog"
 )
@@ -55,7 +56,7 @@
 		case crlang.Convictions:
 			a = crprint.ConvictionsOf(s, x.Service, x.Since, time.Now())
 		case crlang.Versions:
-			age, confirmed := c.confirm.age()
+			age, confirmed := c.confirm.Age(crclock.Now())
 			a = crprint.Version{Version: s.Version(), Confirmed: confirmed, AgeMS: age.Milliseconds()}
 		default:
 			err = crcode.New(crcode.UnknownCommand, "%s", x)
--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -58,7 +58,9 @@
 	directory *crdirectory.Server
 	peers     peers
 	standing  atomic.Pointer[standing]
-	started   atomic.Bool
+	// confirmation tells how old the documents here may be.
+	confirmation crreplica.Confirmation
+	started      atomic.Bool
 
 	wg sync.WaitGroup
 }
@@ -117,6 +119,7 @@
 		ID: store.Identity().ID, Address: c.Settings.Address, Store: store, State: state, Endpoint: c.endpoint, Machine: c.machine,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: crlog.Config{SnapshotBytes: logSnapshotBytes},
 	}
+	c.confirmation.Reader = c.replica
 	if c.replica.ID == crquorum.FirstID(c.Settings.Address) {
 		c.replica.Bootstrap = crquorum.Founders(c.Settings.Address, c.Settings.Seeds, c.Settings.FirstStart, true)
 	}
@@ -140,6 +143,7 @@
 	c.wg.Go(func() { c.ended("directory", c.directory.Run(ctx)) })
 	c.wg.Go(func() { c.presenceLoop(ctx) })
 	c.wg.Go(func() { c.repairLoop(ctx) })
+	c.wg.Go(func() { c.confirmation.Run(ctx) })
 	c.wg.Go(func() { c.standingLoop(ctx) })
 	c.wg.Go(func() { c.hintsFile().loop(ctx) })
 	c.wg.Go(func() {
--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -381,3 +381,44 @@
 	qt.Assert(t, time.Since(begin) < 900*time.Millisecond, qt.IsTrue, qt.Commentf("elected after %v, the lease is 1 s", time.Since(begin)))
 	qt.Assert(t, newest(t, others[0]), qt.Equals, uint64(5))
 }
+
+// TestOldConfirmation guards against a node that takes a document as confirmed on the word of a coordinator that was
+// confirmed before the node came and has lost the majority since, as after a sleep.
+func TestOldConfirmation(t *testing.T) {
+	c, at := newCore(t, 3)
+	procs := map[string]*crcoord.Coordinator{}
+	for i, a := range at {
+		procs[a] = c.start(a, strconv.Itoa(i), true)
+	}
+	put(t, procs[at[0]], 5, 0)
+	var leader string
+	eventually(t, func() bool {
+		for _, a := range at {
+			if procs[a].Leads() {
+				leader = a
+			}
+		}
+		return leader != ""
+	})
+	watch := func(limit time.Duration) (confirmed bool) {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		// The end of the feed is its time limit.
+		_ = crwire.Receive(ctx, session(t, leader), crcoord.MethodWatch, &crwire.DocumentWatch{}, func(f *crwire.DocumentFeed) error {
+			if confirmed = f.GetConfirmed(); confirmed {
+				cancel()
+			}
+			return nil
+		})
+		return confirmed
+	}
+	qt.Assert(t, watch(10*time.Second), qt.IsTrue)
+	var stopping sync.WaitGroup
+	for _, a := range at {
+		if a != leader {
+			stopping.Go(func() { c.stop(a) })
+		}
+	}
+	stopping.Wait()
+	qt.Assert(t, watch(2*time.Second), qt.IsFalse)
+}
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -10,6 +10,7 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crpause"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlog"
 )
@@ -149,15 +150,8 @@
 	return d, nil
 }
 
-// confirmed reports whether this coordinator is a member that hears from a leader with a majority. A leader that is cut
-// off goes on sending to those on its side, so the rest of its lease decides.
-func (c *Coordinator) confirmed() bool {
-	s := c.replica.Status()
-	if s.Role == crlog.Leader {
-		return s.Leads
-	}
-	return s.Leader != 0 && s.Lease > time.Since(s.At)
-}
+// confirmed reports whether this coordinator is a member that lacks nothing of what was acknowledged a moment ago.
+func (c *Coordinator) confirmed() bool { return c.confirmation.Valid(crclock.Now()) }
 
 // standing tells whether this coordinator is confirmed.
 type standing struct {
@@ -195,15 +189,21 @@
 	return err
 }
 
-// serveFeed sends each new document to a node, and regularly and on changes whether the version is confirmed.
+// serveFeed sends each new document to a node, and regularly and on changes whether the version is confirmed. It first is when
+// a leader has been asked since the node came: a coordinator that was suspended must not begin with what it had before.
 func (c *Coordinator) serveFeed(ctx context.Context, _ *crwire.Session, w *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
-	have := w.GetHave()
+	have, came := w.GetHave(), crclock.Now()
+	c.confirmation.Hurry()
 	tick := time.NewTicker(FeedInterval)
 	defer tick.Stop()
 	for {
+		st, renewed := c.standing.Load(), c.confirmation.Renewed()
+		confirmed := c.confirmation.Since(crclock.Now(), came)
+		if confirmed {
+			renewed = nil
+		}
 		d, changed := c.machine.Current()
-		st := c.standing.Load()
-		feed := &crwire.DocumentFeed{Confirmed: c.confirmed(), Version: d.GetVersion(), Voters: c.memberAddresses()}
+		feed := &crwire.DocumentFeed{Confirmed: confirmed, Version: d.GetVersion(), Voters: c.memberAddresses()}
 		if d.GetVersion() > have {
 			if err := c.fill(feed, d, have, w.GetPacked()); err != nil {
 				return err
@@ -217,6 +217,7 @@
 		case <-ctx.Done():
 			return crcode.New(crcode.Stopping, "the feed has ended")
 		case <-changed:
+		case <-renewed:
 		case <-st.changed:
 		case <-tick.C:
 		}
--- a/internal/crreplica/crreplica.go
+++ b/internal/crreplica/crreplica.go
@@ -12,6 +12,7 @@
 
 	"github.com/citronramp/citronramp/internal/crring"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlog"
 	"github.com/citronramp/citronramp/pkg/crstore"
@@ -122,7 +123,7 @@
 	defer r.cancel()
 	stop := context.AfterFunc(ctx, r.cancel)
 	defer stop()
-	if err := r.start(time.Now()); err != nil {
+	if err := r.start(crclock.Now()); err != nil {
 		// The first error says more than one on closing would.
 		_ = r.closeStore()
 		return err
--- a/internal/crreplica/loop.go
+++ b/internal/crreplica/loop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlog"
 )
@@ -16,18 +17,18 @@
 		case <-r.running.Done():
 			return
 		case m := <-r.inbox.C():
-			r.step(time.Now(), m)
+			r.step(crclock.Now(), m)
 		case c := <-r.commands.C():
-			r.command(time.Now(), c)
+			r.command(crclock.Now(), c)
 		case s := <-r.snapshots.C():
 			r.compact(s)
 		case <-r.wake.C():
 		case <-ticker.C:
-			r.tick(time.Now())
+			r.tick(crclock.Now())
 		}
 		r.drain()
 		r.work()
-		r.publish(time.Now())
+		r.publish(crclock.Now())
 	}
 }
 
@@ -37,9 +38,9 @@
 	for range drainLimit {
 		select {
 		case m := <-r.inbox.C():
-			r.step(time.Now(), m)
+			r.step(crclock.Now(), m)
 		case c := <-r.commands.C():
-			r.command(time.Now(), c)
+			r.command(crclock.Now(), c)
 		default:
 			return
 		}
@@ -76,7 +77,7 @@
 			r.fail(err)
 			return
 		}
-		now := time.Now()
+		now := crclock.Now()
 		for _, m := range rd.Messages {
 			r.send(now, m)
 		}
@@ -86,7 +87,7 @@
 			rd.Committed, held = nil, true
 		}
 		r.answerReads(rd.Reads)
-		r.node.Advance(time.Now(), rd)
+		r.node.Advance(crclock.Now(), rd)
 		if held {
 			break
 		}
@@ -130,7 +131,7 @@
 		r.fail(crcode.New(crcode.Internal, "snapshot: %v", s.err))
 		return
 	}
-	if s.index <= r.node.Status(time.Now()).SnapshotIndex {
+	if s.index <= r.node.Status(crclock.Now()).SnapshotIndex {
 		// A snapshot of the leader was installed meanwhile.
 		return
 	}
@@ -158,7 +159,7 @@
 		delete(r.reads, rd.ID)
 		if !rd.OK {
 			// No leader is known now; the command is retried until its context ends.
-			c.retryAt = time.Now().Add(5 * tick)
+			c.retryAt = crclock.Now().Add(5 * tick)
 			r.nextRead++
 			c.readID = r.nextRead
 			r.reads[c.readID] = c
--- a/internal/crreplica/status.go
+++ b/internal/crreplica/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crlog"
 )
 
@@ -17,7 +18,7 @@
 	LastError error
 	// Overflow counts messages dropped by full rings.
 	Overflow uint64
-	// At is when the status was taken.
+	// At is when the status was taken, a time of crclock.
 	At time.Time
 }
 
@@ -25,7 +26,7 @@
 // are corrected for the time since.
 func (r *Replica) Status() Status {
 	s := *r.status.Load()
-	s.Lease = max(0, s.Lease-time.Since(s.At))
+	s.Lease = max(0, s.Lease-crclock.Since(s.At))
 	s.Leads = s.Leads && s.Lease > 0 && s.LastError == nil && r.running.Err() == nil
 	return s
 }
--- a/internal/crreplica/wire.go
+++ b/internal/crreplica/wire.go
@@ -1,8 +1,6 @@
 package crreplica
 
 import (
-	"time"
-
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlog"
@@ -12,8 +10,7 @@
 	out := &crwire.LogMessage{
 		Kind: uint32(m.Kind), From: m.From, To: m.To, FromAddress: m.FromAddress, Term: m.Term, Index: m.Index,
 		LogTerm: m.LogTerm, Commit: m.Commit, Reject: m.Reject, Hint: m.Hint, Force: m.Force, Round: m.Round, Id: m.ID,
-		LeaseMs: uint32(m.Lease.Milliseconds()),
-		Offset:  m.Offset, Size: m.Size, Data: m.Data, Leader: m.Leader, LeaderAddress: m.LeaderAddress,
+		Offset: m.Offset, Size: m.Size, Data: m.Data, Leader: m.Leader, LeaderAddress: m.LeaderAddress,
 	}
 	for _, e := range m.Entries {
 		out.Entries = append(out.Entries, &crwire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
@@ -32,8 +29,7 @@
 		Kind: crlog.MessageKind(m.GetKind()), From: m.GetFrom(), To: m.GetTo(), FromAddress: m.GetFromAddress(),
 		Term: m.GetTerm(), Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Commit: m.GetCommit(), Reject: m.GetReject(),
 		Hint: m.GetHint(), Force: m.GetForce(), Round: m.GetRound(), ID: m.GetId(),
-		Lease: time.Duration(m.GetLeaseMs()) * time.Millisecond, Offset: m.GetOffset(),
-		Size: m.GetSize(), Data: m.GetData(), Leader: m.GetLeader(), LeaderAddress: m.GetLeaderAddress(),
+		Offset: m.GetOffset(), Size: m.GetSize(), Data: m.GetData(), Leader: m.GetLeader(), LeaderAddress: m.GetLeaderAddress(),
 	}
 	for i, e := range m.GetEntries() {
 		if e.GetKind() > uint32(crlog.Change) || e.GetIndex() != m.GetIndex()+uint64(i)+1 {
--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -168,9 +168,7 @@
 	handed     uint64
 
 	// heard is when a message of a leader arrived last; within Lease after it others get no vote.
-	heard time.Time
-	// assured is until when the leader that this member follows is known to hold its lease.
-	assured  time.Time
+	heard    time.Time
 	deadline time.Time
 	votes    map[uint64]bool
 	// forced marks a candidacy that a resigning leader asked for; voters then ignore their lease.
--- a/pkg/crlog/crlog_test.go
+++ b/pkg/crlog/crlog_test.go
@@ -262,7 +262,8 @@
 			w.settleFor(60 * time.Millisecond)
 			w.read(old)
 			w.settleFor(200 * time.Millisecond)
-			c.Assert(w.answered[1], qt.IsTrue)
+			_, answered := w.allowed[1]
+			c.Assert(answered, qt.IsTrue)
 		})
 	}
 }
@@ -366,19 +367,24 @@
 	w.settleFor(2 * time.Second)
 	old := w.leader()
 	follower := w.sims[old.id%5+1]
+	confirmed := func() bool {
+		w.read(follower)
+		w.settleFor(60 * time.Millisecond)
+		return w.allowed[uint64(len(w.reads))]
+	}
 	for range 20 {
-		w.settleFor(50 * time.Millisecond)
-		c.Assert(follower.node.Status(w.now(follower)).Lease > 500*time.Millisecond, qt.IsTrue)
+		c.Assert(confirmed(), qt.IsTrue)
 	}
 	w.side[old.id], w.side[follower.id] = 1, 1
-	w.settleFor(1040 * time.Millisecond)
+	for range 20 {
+		c.Assert(confirmed(), qt.IsFalse)
+	}
 	st := follower.node.Status(w.now(follower))
 	c.Assert(st.Leader, qt.Equals, old.id)
 	c.Assert(st.LastHeardFromLeader < 150*time.Millisecond, qt.IsTrue)
-	c.Assert(st.Lease, qt.Equals, time.Duration(0))
 	clear(w.side)
 	w.settleFor(3 * time.Second)
-	c.Assert(follower.node.Status(w.now(follower)).Lease > 0, qt.IsTrue)
+	c.Assert(confirmed(), qt.IsTrue)
 }
 
 // Guards against a follower that lost only its link to the leader and takes over while the lease lasts.
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -98,7 +98,7 @@
 	if n.role == Leader || id == n.cfg.ID || id == 0 || n.hard.Vote != id {
 		return
 	}
-	n.heard, n.assured = time.Time{}, time.Time{}
+	n.heard = time.Time{}
 	if n.leader == id {
 		n.leader, n.leaderAddr = 0, ""
 	}
@@ -181,7 +181,7 @@
 	}
 	if term > n.hard.Term {
 		n.hard = HardState{Term: term}
-		n.leader, n.leaderAddr, n.assured = 0, "", time.Time{}
+		n.leader, n.leaderAddr = 0, ""
 	}
 	n.dropReads()
 	n.role, n.lead, n.votes, n.forced = Follower, nil, nil, false
@@ -198,9 +198,6 @@
 	n.leader, n.leaderAddr = m.From, m.FromAddress
 	n.hard.Vote = m.From
 	n.heard = now
-	if until := now.Add(m.Lease); until.After(n.assured) {
-		n.assured = until
-	}
 	n.resetDeadline(now)
 }
 
--- a/pkg/crlog/leader.go
+++ b/pkg/crlog/leader.go
@@ -37,11 +37,9 @@
 	// leaseEnd is when the lease runs out; confirmed is the last round that a majority answered.
 	leaseEnd  time.Time
 	confirmed uint64
-	// told is the rest of the lease that the messages of the present heartbeat tell.
-	told     time.Duration
-	quorumAt time.Time
-	nextBeat time.Time
-	reads    []pendingRead
+	quorumAt  time.Time
+	nextBeat  time.Time
+	reads     []pendingRead
 	// pendingBytes is the size of the entries that are not yet committed.
 	pendingBytes int
 	sentCommit   uint64
@@ -97,13 +95,11 @@
 		l.rounds = l.rounds[1:]
 	}
 	l.rounds = append(l.rounds, sentRound{l.round, now})
-	l.told = max(0, l.leaseEnd.Sub(now))
 	for _, id := range l.peerIDs() {
 		p := l.peers[id]
 		p.waiting = false
 		n.replicate(id, p, true)
 	}
-	l.told = 0
 	n.renew()
 }
 
@@ -127,10 +123,6 @@
 	if !ok || q <= l.confirmed {
 		return
 	}
-	if l.confirmed == 0 {
-		// The followers learn at once that the leader holds a lease.
-		l.nextBeat = time.Time{}
-	}
 	l.confirmed = q
 	for len(l.rounds) > 0 && l.rounds[0].round <= q {
 		l.quorumAt = l.rounds[0].at
--- a/pkg/crlog/message.go
+++ b/pkg/crlog/message.go
@@ -1,7 +1,5 @@
 package crlog
 
-import "time"
-
 // MessageKind names the purpose of a message.
 type MessageKind uint8
 
@@ -48,6 +46,4 @@
 	// Leader and LeaderAddress tell an observer whom to ask.
 	Leader        uint64
 	LeaderAddress string
-	// Lease is how long the lease of the leader that sends a heartbeat still lasts.
-	Lease time.Duration
 }
--- a/pkg/crlog/replicate.go
+++ b/pkg/crlog/replicate.go
@@ -33,7 +33,7 @@
 		prev := p.next - 1
 		n.send(Message{
 			Kind: AppendRequest, To: id, Index: prev, LogTerm: n.log.term(prev), Commit: n.commit,
-			Entries: entries, Round: n.lead.round, Lease: n.lead.told,
+			Entries: entries, Round: n.lead.round,
 		})
 		always = false
 		if p.probing {
--- a/pkg/crlog/status.go
+++ b/pkg/crlog/status.go
@@ -26,7 +26,7 @@
 	LeaderAddress string
 	// Leads is true while the member may act as leader.
 	Leads bool
-	// Lease is how long the lease of the leader still lasts, as far as this member knows.
+	// Lease is how long the lease of this member still lasts when it leads.
 	Lease                time.Duration
 	Commit, Applied      uint64
 	First, Last          uint64
@@ -48,7 +48,6 @@
 		Commit: n.commit, Applied: n.handed, First: n.log.base + 1, Last: n.log.last(), Bytes: n.log.bytes,
 		SnapshotIndex: n.log.snapshot.Index, Members: n.Members(), Settled: n.settled(),
 		LastHeardFromLeader: now.Sub(n.heard), UncommittedLogLength: n.log.last() - n.commit,
-		Lease: max(0, n.assured.Sub(now)),
 	}
 	if n.role == Leader {
 		s.LastHeardFromLeader = 0
--- a/pkg/crlog/world_test.go
+++ b/pkg/crlog/world_test.go
@@ -49,10 +49,10 @@
 	leaders map[uint64]uint64
 	hashes  map[uint64]uint64
 	reads   map[uint64]uint64
-	// answered tells which reads were allowed or refused.
-	answered map[uint64]bool
-	highest  uint64
-	nextID   uint64
+	// allowed tells of each read that was answered whether it was allowed.
+	allowed map[uint64]bool
+	highest uint64
+	nextID  uint64
 }
 
 func addr(id uint64) string { return fmt.Sprintf("m%d", id) }
@@ -60,7 +60,7 @@
 func newWorld(t fataler, seed uint64, voters int) *world {
 	w := &world{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), sims: map[uint64]*sim{}, side: map[uint64]int{}, broken: map[[2]uint64]bool{}, leaders: map[uint64]uint64{},
-		hashes: map[uint64]uint64{}, reads: map[uint64]uint64{}, answered: map[uint64]bool{}, nextID: uint64(voters),
+		hashes: map[uint64]uint64{}, reads: map[uint64]uint64{}, allowed: map[uint64]bool{}, nextID: uint64(voters),
 	}
 	var members crlog.Members
 	for id := uint64(1); id <= uint64(voters); id++ {
@@ -168,7 +168,7 @@
 			w.apply(s, e)
 		}
 		for _, rd := range r.Reads {
-			w.answered[rd.ID] = true
+			w.allowed[rd.ID] = rd.OK
 			if floor, ok := w.reads[rd.ID]; ok && rd.OK && rd.Index < floor {
 				w.t.Fatalf("read %d at member %d was allowed at %d, but %d was acknowledged before it", rd.ID, s.id, rd.Index, floor)
 			}
