crkeeper, crspread: keepers of records count the time that their machines were suspended

Seen: nothing by callers; found by looking for the class of CONFIG elsewhere. Cause: a keeper grants claims for 5 s after its configuration was confirmed, and a majority of keepers that was lost is fenced after 10 s, so that a request that may not be repeated cannot be granted twice. The 5 s, and the ages that relays of the configuration tree add up, were counted by the steady clock: two keepers of a group that sleep for 10 s and wake would grant what their fenced successors grant as well. Ruled out: waits for others to give up (crcontrol handovers, retry budgets, convictions, the silence of servers and nodes): they wait longer after a sleep, which is the safe side, and a member's silence is no silence of others while it slept itself. Change: both go by crclock. That keepers granted twice was not played: the tests cannot stop a process's steady clock.

--- a/internal/crkeeper/crkeeper.go
+++ b/internal/crkeeper/crkeeper.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crrecord"
 )
@@ -49,12 +50,12 @@
 // Clock returns the present time.
 type Clock func() crrecord.Instant
 
-// NewClock returns a clock that counts from now.
+// NewClock returns a clock that counts from now, also while the machine is suspended: what a keeper was told before its machine
+// slept must not let it grant claims afterwards.
 func NewClock() Clock {
-	start := time.Now()
+	start := crclock.Now()
 	return func() crrecord.Instant {
-		now := time.Now()
-		return crrecord.Instant{Elapsed: now.Sub(start), UnixMS: now.UnixMilli()}
+		return crrecord.Instant{Elapsed: crclock.Since(start), UnixMS: time.Now().UnixMilli()}
 	}
 }
 
--- a/internal/crspread/driver.go
+++ b/internal/crspread/driver.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronramp/citronramp/internal/crring"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
@@ -67,7 +68,7 @@
 func newDriver(cfg Config, e *crwire.Endpoint, onUpdate func(Update) error) *driver {
 	d := &driver{
 		endpoint: e, onUpdate: onUpdate, in: crring.New[event](inRing),
-		core: New(time.Now(), cfg), children: map[uint64]*childConn{}, parents: map[uint64]*parentConn{},
+		core: New(crclock.Now(), cfg), children: map[uint64]*childConn{}, parents: map[uint64]*parentConn{},
 	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	return d
@@ -94,7 +95,7 @@
 
 func (d *driver) step(ev event) {
 	d.mu.Lock()
-	outs := ev(time.Now(), d.core)
+	outs := ev(crclock.Now(), d.core)
 	d.mu.Unlock()
 	for _, o := range outs {
 		d.perform(o)
@@ -159,7 +160,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.core.Status(time.Now())
+	return d.core.Status(crclock.Now())
 }
 
 func (d *driver) progress() Progress {
@@ -168,7 +169,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.core.Progress(time.Now())
+	return d.core.Progress(crclock.Now())
 }
 
 // register adds the handlers of a driver that Run sets later.
@@ -287,7 +288,7 @@
 // leave tells the parent that this process stops.
 func (d *driver) leave() {
 	d.mu.Lock()
-	outs := d.core.Leave(time.Now())
+	outs := d.core.Leave(crclock.Now())
 	d.mu.Unlock()
 	for _, o := range outs {
 		if up, ok := o.(SendUp); ok {
--- a/pkg/crrecord/crrecord.go
+++ b/pkg/crrecord/crrecord.go
@@ -27,7 +27,7 @@
 	MaxSlots = 64
 )
 
-// Instant is the present time: Elapsed is monotonic and orders lifetimes, UnixMS is the wall clock, which may jump.
+// Instant is the present time: Elapsed is monotonic, counts suspension and orders lifetimes, UnixMS is the wall clock, which may jump.
 type Instant struct {
 	Elapsed time.Duration
 	UnixMS  int64
