crforward: a request's time left goes on while the machine of its node is suspended

Seen (by test): a server is handed 4,998 ms for a request whose client has 2,000 left, or one whose client has gone, after the node slept with it. Change: a call remembers for how long its machine had been suspended when it came. Just before it goes to a server or another node the time since then is taken off; one without time left is refused, not run. Timers and queues stay with the steady clock: they only decide when to look.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -30,6 +30,8 @@
 	deadline time.Time
 	// due is when the answer is late by the target of its route.
 	due time.Time
+	// suspended is for how long the machine had been suspended when the call came.
+	suspended time.Duration
 	// worth ranks the route, a higher one is more important.
 	worth uint32
 	// caller is the service of the instance where the request began.
@@ -48,6 +50,9 @@
 	prints prints
 }
 
+// present returns the time for the call's deadline, which goes on while the machine is suspended.
+func (n *Node) present(c *call) time.Time { return time.Now().Add(n.Suspended() - c.suspended) }
+
 // peek reads the first bytes of a body that is not kept and leaves it as it was.
 func (c *call) peek(most int64) ([]byte, error) {
 	first, err := io.ReadAll(io.LimitReader(c.body, most))
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -17,6 +17,7 @@
 	"github.com/citronramp/citronramp/internal/crexchange"
 	"github.com/citronramp/citronramp/internal/crpipeline"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crroute"
 	"github.com/citronramp/citronramp/pkg/crshed"
@@ -74,7 +75,9 @@
 	ControlHandler http.Handler
 	ReadyPath      string
 	Parse          Parser
-	Log            *crevent.Log
+	// Suspended returns for how long the machine was suspended so far; crclock.Suspended when nil.
+	Suspended func() time.Duration
+	Log       *crevent.Log
 	Counters       cradmin.Counters
 
 	table     atomic.Pointer[crroute.Table]
@@ -163,6 +166,9 @@
 func (n *Node) Started() bool { return n.started.Load() }
 
 func (n *Node) prepare() {
+	if n.Suspended == nil {
+		n.Suspended = crclock.Suspended
+	}
 	n.endpoint = &crwire.Endpoint{
 		Identity: crwire.Identity{Self: crwire.Peer{
 			Name: n.Settings.Name, Incarnation: time.Now().UTC().Format("20060102T150405.000000000"), Role: crwire.RoleNode,
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -67,7 +67,7 @@
 		id: req.Header.Get(names.RequestID), route: route.Name, service: route.Service(rand.Float64()), method: req.Method,
 		target: req.RequestURI, host: req.Host, header: req.Header, body: req.Body, length: req.ContentLength,
 		deadline: arrived.Add(min(left, route.Timeout)), caller: n.Settings.Service, once: !route.Repeatable(),
-		idle: n.gate.idle(),
+		idle: n.gate.idle(), suspended: n.Suspended(),
 	}
 	c.origin = n.origins.of(route.Name)
 	if c.origin == originUnknown {
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -64,8 +64,12 @@
 		r.cost = n.ledger.Cost(c.route)
 		return r
 	}
-	now := time.Now()
-	work, cancel := context.WithDeadline(ctx, c.deadline.Add(hopSlack))
+	now := n.present(c)
+	left := c.deadline.Sub(now)
+	if left <= 0 {
+		return refuse(crcode.DeadlineExpired, "")
+	}
+	work, cancel := context.WithTimeout(ctx, left+hopSlack)
 	resp, err := n.peers.to(address).Do(work, n.hopRequest(c, now))
 	if err != nil {
 		cancel()
@@ -156,6 +160,7 @@
 func (n *Node) serveInbound(w http.ResponseWriter, req *http.Request) {
 	names := n.Settings.Headers
 	c, err := parseHop(req, names.RequestID, time.Now())
+	c.suspended = n.Suspended()
 	if err != nil {
 		n.Counters.Add("hops_malformed", 1)
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -94,7 +94,9 @@
 	more []string
 	// server is where the servers of added nodes listen; empty for one of each node's own.
 	server string
-	nodes  []*node
+	// suspended is for how long the machines of added nodes were suspended; nil for what the clocks tell.
+	suspended func() time.Duration
+	nodes     []*node
 }
 
 func newCluster(t testing.TB) *cluster {
@@ -198,7 +200,7 @@
 			Heartbeat: time.Minute, MemoryBytes: 256 << 20, StopTimeout: 3 * time.Second,
 		},
 		Entrance: entrance, Inbound: inbound, Ready: ready, Control: listener(c.t), ControlHandler: http.NotFoundHandler(),
-		ReadyPath: "/ready", Parse: parse, Log: &crevent.Log{Out: io.Discard},
+		ReadyPath: "/ready", Parse: parse, Log: &crevent.Log{Out: io.Discard}, Suspended: c.suspended,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/crforward/run.go
+++ b/internal/crforward/run.go
@@ -14,13 +14,19 @@
 // exchange sends an admitted call to the server and reads its answer.
 func (g *gate) exchange(ctx context.Context, c *call, l lane, waited time.Duration) *reply {
 	started := time.Now()
+	left := c.deadline.Sub(g.node.present(c))
+	if left <= 0 {
+		l.run.cancelled()
+		g.release(l, crlimiter.Sample{Result: crlimiter.Cancelled})
+		return refuse(crcode.DeadlineExpired, "")
+	}
 	work := ctx
 	if c.once {
 		// A run that may not be repeated goes on when its caller leaves: it may be complete a moment later.
 		work = context.WithoutCancel(ctx)
 	}
-	work, cancel := context.WithDeadline(work, c.deadline.Add(serverSlack))
-	resp, err := l.client.Do(work, g.request(c, l, started))
+	work, cancel := context.WithTimeout(work, left+serverSlack)
+	resp, err := l.client.Do(work, g.request(c, l, left))
 	if err != nil {
 		cancel()
 		return g.failed(c, l, started, waited, err)
@@ -90,11 +96,11 @@
 	return crlimiter.Success
 }
 
-// request builds what the server gets.
-func (g *gate) request(c *call, l lane, now time.Time) *crexchange.Request {
+// request builds what the server gets, which may work for as long as is left.
+func (g *gate) request(c *call, l lane, left time.Duration) *crexchange.Request {
 	names := g.node.Settings.Headers
 	h := passedOn(c.header)
-	h.Set(names.Timeout, formatMilliseconds(c.deadline.Sub(now)))
+	h.Set(names.Timeout, formatMilliseconds(left))
 	h.Set(names.Caller, c.caller)
 	h.Set(names.ExpectServer, l.reg.ID)
 	return &crexchange.Request{Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body, Length: c.length}
