crforward, platform: an acknowledged report of a server has its effect, whatever another writer sent before

Seen (by test): after one report with the server's id, service and address but a sequence or a start far too large, the real server said that it leaves, was acknowledged with 200 and got 40 of 40 requests. Cause: reports were ordered by numbers that nothing bounded, and what came late by them was acknowledged without an effect. Ruled out: a bound on the sequence by the age of the server: nothing says at which number servers begin. Change: (1) that a server leaves is taken from a late report of its lifetime as well; it stays true. (2) A late report shows that the server was there, so it is not silent. (3) A word of an earlier lifetime is refused, not acknowledged. (4) The earlier lifetime is taken when the later one is silent for two reports and the earlier one reports twice, half an interval apart; reports that were held up come together. (5) A start more than a minute ahead, odd ids and impossible numbers are refused. What remains: a forged start less than a minute ahead delays the acknowledgement of a leave by two to four reports.

--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -78,7 +78,7 @@
 	// Suspended returns for how long the machine was suspended so far; crclock.Suspended when nil.
 	Suspended func() time.Duration
 	Log       *crevent.Log
-	Counters       cradmin.Counters
+	Counters  cradmin.Counters
 
 	table     atomic.Pointer[crroute.Table]
 	documents documents
--- a/internal/crforward/departed.go
+++ b/internal/crforward/departed.go
@@ -76,7 +76,7 @@
 	}
 	born := time.UnixMilli(int64(m.GetVersion()))
 	n.departed.add(id, born)
-	if n.gate.leave(id, born) {
+	if n.gate.leave(id, born) == leaveTaken {
 		n.Log.Emit(now, crevent.State, crevent.ServerGone, crevent.KeyServer, id, crevent.KeyReason, "told_before")
 		n.announce()
 	}
--- a/internal/crforward/departed_test.go
+++ b/internal/crforward/departed_test.go
@@ -16,7 +16,7 @@
 func TestLeaveOutlivesRestart(t *testing.T) {
 	t.Parallel()
 	for name, leave := range map[string]func(n *node) error{
-		"deregistered": func(n *node) error { n.Deregister(time.Now(), n.backend.id, n.born); return nil },
+		"deregistered": func(n *node) error { return n.Deregister(time.Now(), n.backend.id, n.born) },
 		"draining":     func(n *node) error { return n.report(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -64,7 +64,7 @@
 	c.put(3, 0, route("/p/", "photos", crroute.Repeatable))
 	from.warm(t, "GET", "/p/x", two)
 	born := one.born.Add(time.Second)
-	one.Deregister(time.Now(), "next", born)
+	qt.Assert(t, one.Deregister(time.Now(), "next", born), qt.IsNil)
 	ran := one.backend.ran.Load()
 	one.backend.id, one.born = "next", born
 	qt.Assert(t, one.report(false), qt.IsNil)
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -68,7 +68,7 @@
 func (g *gate) report(now time.Time, r Report) registrationVerdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	next, verdict := judgeReport(now, g.reg, r, g.node.departed.has(r))
+	next, verdict := judgeReport(now, g.node.Settings.Heartbeat, g.reg, r, g.node.departed.has(r))
 	back := g.missed
 	old := g.reg
 	g.reg = next
@@ -88,6 +88,12 @@
 			verdict = reportJoined
 		}
 	case reportStale:
+		if back && !next.Draining {
+			g.missed = false
+			return reportJoined
+		}
+		return verdict
+	case reportRefused:
 		return verdict
 	}
 	g.missed, g.downUntil = false, time.Time{}
@@ -132,18 +138,32 @@
 	}
 }
 
-// leave takes the word of a server that it leaves and reports whether that is news.
-func (g *gate) leave(id string, born time.Time) bool {
+// leaveVerdict is what the word of a server that it leaves changes.
+type leaveVerdict uint8
+
+const (
+	// leaveKnown is no news: the gate sends that server nothing.
+	leaveKnown leaveVerdict = iota
+	leaveTaken
+	// leaveRefused is about an earlier lifetime of the server that the gate works for.
+	leaveRefused
+)
+
+// leave takes the word of a server that it leaves.
+func (g *gate) leave(id string, born time.Time) leaveVerdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.reg == nil || g.reg.ID != id || g.reg.Draining || born.UnixMilli() > 0 && born.UnixMilli() < g.reg.Born.UnixMilli() {
-		return false
+	switch {
+	case g.reg == nil || g.reg.ID != id || g.reg.Draining:
+		return leaveKnown
+	case born.UnixMilli() > 0 && born.UnixMilli() < g.reg.Born.UnixMilli():
+		return leaveRefused
 	}
 	next := *g.reg
 	next.Draining = true
 	g.reg = &next
 	g.empty(crcode.Leaving)
-	return true
+	return leaveTaken
 }
 
 // registered returns the server that the gate works for, unless it has missed its reports.
