crexchange: a connection never carries two requests with one id

Seen (by test): a server writes an earlier refusal once more on a kept connection; a later request with the id of the refused one gets that copy and is told that it was not run, while the server runs it. Cause: answers are told apart by the id that servers repeat; on a connection that carried the same id before, that tells nothing. A request without an id gets a connection of its own that is not kept. Owns becomes ID; NoReuse, which nobody set, is gone. Also: TestCutAnswer cuts answers of seven framings at each byte; none is taken for a whole one, before and after.

--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,8 +54,9 @@
 	MaxIdle     int
 	IdleTimeout time.Duration
 	DialTimeout time.Duration
-	// Owns reports whether a response with the header belongs to the request with the header; nil takes every response.
-	Owns func(request, response http.Header) bool
+	// ID returns the id of a request, which the server repeats in its response; nil takes every response. A connection never
+	// carries two requests with one id, and a request without an id gets a connection of its own.
+	ID func(http.Header) string
 	// OnDial, when set, is told of each new connection.
 	OnDial func()
 
@@ -70,8 +72,6 @@
 	// Body is nil for none; Length is -1 when it is unknown.
 	Body   io.Reader
 	Length int64
-	// NoReuse asks for a connection that no server can have closed meanwhile.
-	NoReuse bool
 }
 
 // Response is an answer; Close must be called, and gives the connection back when the exchange was clean.
@@ -96,11 +96,13 @@
 	meter  *meter
 	reader *bufio.Reader
 	until  time.Time
+	// carried are the requests that the connection carried before.
+	carried carried
 }
 
 // Do sends the request once and returns the head of its response. The connection is cut when ctx ends before Close.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	cn, err := c.take(ctx, r.NoReuse)
+	cn, err := c.take(ctx, r)
 	if err != nil {
 		return nil, err
 	}
@@ -137,24 +139,41 @@
 }
 
 // take returns an idle connection that is still sound, or a new one.
-func (c *Client) take(ctx context.Context, fresh bool) (*conn, error) {
-	now := time.Now()
-	for !fresh {
-		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
-			c.mu.Unlock()
-			break
-		}
-		cn := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		if now.Before(cn.until) && quiet(cn.Conn) {
+func (c *Client) take(ctx context.Context, r *Request) (*conn, error) {
+	id := c.digest(r)
+	for cn := c.pick(id); cn != nil; cn = c.pick(id) {
+		if time.Now().Before(cn.until) && quiet(cn.Conn) {
+			cn.carried.add(id)
 			return cn, nil
 		}
 		_ = cn.Close()
 	}
-	return c.dial(ctx)
+	cn, err := c.dial(ctx)
+	if err == nil {
+		cn.carried.add(id)
+	}
+	return cn, err
+}
+
+// pick takes the idle connection that was used last and has not carried the request, nil for none.
+func (c *Client) pick(id uint64) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ID != nil && id == noID {
+		return nil
+	}
+	for i, cn := range slices.Backward(c.idle) {
+		if c.ID == nil || !cn.carried.has(id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
+// owns reports whether a response is one to the request.
+func (c *Client) owns(r *Request, response http.Header) bool {
+	return c.ID == nil || c.ID(r.Header) == c.ID(response)
 }
 
 // dial opens a connection; the error wraps ErrNotSent.
@@ -252,7 +271,7 @@
 			}
 			continue
 		}
-		if c.Owns != nil && !c.Owns(r.Header, hr.Header) {
+		if !c.owns(r, hr.Header) {
 			if strays++; strays > maxStrays {
 				return nil, ErrForeign
 			}
@@ -373,7 +392,7 @@
 func (c *Client) give(cn *conn, keep time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle) >= c.MaxIdle {
+	if c.closed || len(c.idle) >= c.MaxIdle || c.ID != nil && cn.carried.has(noID) {
 		return false
 	}
 	cn.until = time.Now().Add(keep)
--- a/internal/crexchange/crexchange_test.go
+++ b/internal/crexchange/crexchange_test.go
@@ -47,7 +47,7 @@
 func (s *server) answer(c net.Conn, answers []string) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
-	for {
+	for first := true; ; first = false {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -59,21 +59,35 @@
 		if n >= len(answers) || answers[n] == "" {
 			return
 		}
-		if _, err := io.WriteString(c, strings.ReplaceAll(answers[n], "ID", req.Header.Get("Id"))); err != nil {
+		text, closes := strings.CutSuffix(answers[n], closeMark)
+		if again, own, ok := strings.Cut(text, keptMark); ok {
+			text = own
+			if !first {
+				text = again + own
+			}
+		}
+		if _, err := io.WriteString(c, strings.ReplaceAll(text, "ID", req.Header.Get("Id"))); err != nil {
 			return
 		}
-		if !strings.Contains(answers[n], "Content-Length") {
+		if closes || !strings.Contains(text, "Content-Length") {
 			return
 		}
 	}
 }
 
+const (
+	// closeMark ends an answer after which the server closes the connection.
+	closeMark = "<close>"
+	// keptMark follows what is written only on a connection that has carried a request before.
+	keptMark = "<kept>"
+)
+
 const whole = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
 
 func client(s *server) *crexchange.Client {
 	return &crexchange.Client{
 		Address: s.Addr().String(), MaxIdle: 4,
-		Owns: func(req, resp http.Header) bool { return req.Get("Id") == resp.Get("Id") },
+		ID: func(h http.Header) string { return h.Get("Id") },
 	}
 }
 
--- /dev/null
+++ b/internal/crexchange/cut_test.go
@@ -0,0 +1,111 @@
+package crexchange_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crexchange"
+)
+
+// TestCutAnswer guards against an answer that ends in the middle of its head or body and is taken for a whole one.
+func TestCutAnswer(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: 1.2\r\n"
+	for name, answer := range map[string]string{
+		"length":       head + "Content-Length: 12\r\n\r\nhello, world",
+		"empty":        head + "Content-Length: 0\r\n\r\n",
+		"chunks":       head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7;x=y\r\n, world\r\n0\r\n\r\n",
+		"trailer":      head + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5\r\nhello\r\n0\r\nSum: 7\r\n\r\n",
+		"interim":      "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"bare newline": "HTTP/1.1 200 OK\nId: ID\nContent-Length: 2\n\nok",
+		// Its body ends with the connection, so only the head shows that it is cut.
+		"without length": head + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := range len(answer) {
+				text := strings.ReplaceAll(answer[:cut], "ID", "a")
+				if strings.HasSuffix(text, "I") {
+					continue
+				}
+				s := serve(t, text+closeMark)
+				body, resp, err := do(t, &crexchange.Client{Address: s.Addr().String()}, "a")
+				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("cut at %d: %q, %v", cut, body, resp))
+				_ = s.Close()
+			}
+		})
+	}
+}
+
+// TestRepeatedRefusal guards against a server that writes an earlier refusal once more on a kept connection, and a later
+// request that is taken for one that was not run.
+func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	refusal := func(id, framing string) string {
+		return "HTTP/1.1 503 Busy\r\n" + id + "Not-Run: 1\r\n" + framing
+	}
+	const own, length, chunks = "Id: a\r\n", "Content-Length: 4\r\n\r\nbusy", "Transfer-Encoding: chunked\r\nX: Content-Length\r\n\r\n4\r\nbusy\r\n0\r\n\r\n"
+	for name, x := range map[string]struct {
+		// again comes before, or late after, the answer to the next request.
+		again  string
+		late   bool
+		method string
+		id     string
+	}{
+		"before":                   {again: refusal(own, length)},
+		"before, in chunks":        {again: refusal(own, chunks)},
+		"before, twice":            {again: strings.Repeat(refusal(own, length), 2)},
+		"before, without id":       {again: refusal("", length)},
+		"before, without length":   {again: refusal(own, "\r\nbusy")},
+		"before, of a HEAD":        {again: refusal(own, "Content-Length: 4\r\n\r\n")},
+		"before the answer to one": {again: refusal(own, length), method: "HEAD"},
+		"after":                    {again: refusal(own, length), late: true},
+		"before, same id":          {again: refusal(own, length), id: "a"},
+		"after, same id":           {again: refusal(own, length), late: true, id: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			second := x.again + keptMark + whole
+			if x.late {
+				second = whole
+			}
+			first := refusal(own, length)
+			if x.late {
+				first += x.again
+			}
+			s := serve(t, first, second, whole)
+			c := client(s)
+			_, resp, err := do(t, c, "a")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, resp.Status, qt.Equals, http.StatusServiceUnavailable)
+			method, id := x.method, x.id
+			if method == "" {
+				method = "POST"
+			}
+			if id == "" {
+				id = "b"
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			resp, err = c.Do(ctx, &crexchange.Request{Method: method, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}})
+			if err != nil {
+				// Nothing is known, and nothing is promised.
+				qt.Assert(t, err, qt.Not(qt.ErrorIs), crexchange.ErrNotSent)
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Close()
+			qt.Assert(t, fmt.Sprint(resp.Status, resp.Header.Get("Not-Run"), err), qt.Equals, "200<nil>")
+			if method != "HEAD" {
+				qt.Assert(t, string(body), qt.Equals, "ok")
+			}
+		})
+	}
+}
--- a/internal/crexchange/endless_test.go
+++ b/internal/crexchange/endless_test.go
@@ -67,7 +67,7 @@
 			addr, sent, closed := endless(t, x.start, x.piece)
 			c := &crexchange.Client{
 				Address: addr.String(), MaxIdle: 4,
-				Owns: func(req, resp http.Header) bool { return req.Get("Id") == resp.Get("Id") },
+				ID: func(h http.Header) string { return h.Get("Id") },
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), limit)
 			defer cancel()
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -180,7 +180,7 @@
 	}}
 	n.suspects.prepare(n)
 	n.services.node = n
-	n.peers.owns = n.owns
+	n.peers.id = n.requestID
 	n.bodies.limit = n.Settings.MemoryBytes / bodyMemoryShare
 	n.ledger = &crcost.Ledger{Service: n.Settings.Service}
 	n.gate = newGate(n)
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -115,7 +115,7 @@
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queuePerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
-		Address: r.Address, MaxIdle: r.Slots, IdleTimeout: maxServerIdle, Owns: g.node.owns,
+		Address: r.Address, MaxIdle: r.Slots, IdleTimeout: maxServerIdle, ID: g.node.requestID,
 		OnDial: func() { g.node.Counters.Add("server_connections", 1) },
 	}
 }
--- a/internal/crforward/headers.go
+++ b/internal/crforward/headers.go
@@ -55,8 +55,5 @@
 	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
 }
 
-// owns reports whether a response belongs to a request, by the id that servers echo.
-func (n *Node) owns(request, response http.Header) bool {
-	name := n.Settings.Headers.RequestID
-	return request.Get(name) == response.Get(name)
-}
+// requestID returns the id that a request and the answers to it carry.
+func (n *Node) requestID(h http.Header) string { return h.Get(n.Settings.Headers.RequestID) }
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -26,7 +26,8 @@
 
 // hops are the connections to the gates of other nodes.
 type hops struct {
-	owns    func(request, response http.Header) bool
+	// id returns the id that requests and their answers carry.
+	id      func(http.Header) string
 	mu      sync.Mutex
 	clients map[string]*crexchange.Client
 }
@@ -39,7 +40,7 @@
 		if h.clients == nil {
 			h.clients = map[string]*crexchange.Client{}
 		}
-		c = &crexchange.Client{Address: address, MaxIdle: hopConnections, IdleTimeout: hopIdleUse, DialTimeout: hopDial, Owns: h.owns}
+		c = &crexchange.Client{Address: address, MaxIdle: hopConnections, IdleTimeout: hopIdleUse, DialTimeout: hopDial, ID: h.id}
 		h.clients[address] = c
 	}
 	return c
