crnode: a call's time left goes on while the machine of its node is suspended

Seen (by test): a backend server gets 1,999 ms for a call whose caller has 800 left, and one runs whose caller has gone. Change: a deadline remembers for how long the machine had been suspended when its call came; what is left of it is asked for before each hand-over to a server, another node or a deeper call, and after a claim.

--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -65,8 +65,9 @@
 	kind        string
 	contentType string
 	body        []byte
-	deadline    time.Time
-	token       string
+	// left is the time that the run may take.
+	left  time.Duration
+	token string
 }
 
 // answer is what a call came to: a whole answer, or a refusal when the code's outcome is not Run.
@@ -103,7 +104,7 @@
 	}
 	req.Header.Set(HeaderRequestID, w.id)
 	req.Header.Set(HeaderContext, w.token)
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(time.Until(w.deadline).Milliseconds(), 1), 10))
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(w.left.Milliseconds(), 1), 10))
 	if w.contentType != "" {
 		req.Header.Set("Content-Type", w.contentType)
 	}
--- a/internal/crnode/call.go
+++ b/internal/crnode/call.go
@@ -35,7 +35,7 @@
 	rootID      string
 	kind        kindInfo
 	priority    cradmission.Priority
-	deadline    time.Time
+	deadline    deadline
 	holder      holder
 	depth       int
 	contentType string
@@ -53,7 +53,7 @@
 
 // call sends c until there is an answer that stands, asking the holder of the root request before each retry.
 func (n *Node) call(ctx context.Context, c outcall) answer {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithTimeout(ctx, n.left(c.deadline))
 	defer cancel()
 	svc := n.service(c.kind.Service())
 	var tried []string
@@ -115,7 +115,7 @@
 
 // mayRetry asks, in order of cost, the deadline, the service's retry ratio and the holder of the root request.
 func (n *Node) mayRetry(ctx context.Context, svc *service, c outcall, attempt int) bool {
-	if ctx.Err() != nil || time.Until(c.deadline) < minSendTime {
+	if ctx.Err() != nil || n.left(c.deadline) < minSendTime {
 		return false
 	}
 	if n.Policy != Adaptive {
@@ -238,7 +238,7 @@
 	}
 	req := &crwire.CallRequest{
 		RequestId: c.id, RootId: c.rootID, Service: c.kind.Service(), Kind: c.kind.Name(), Priority: uint64(c.priority),
-		RemainingUs: time.Until(c.deadline).Microseconds(), HolderAddress: c.holder.address, HolderIncarnation: c.holder.incarnation,
+		RemainingUs: n.left(c.deadline).Microseconds(), HolderAddress: c.holder.address, HolderIncarnation: c.holder.incarnation,
 		TargetIncarnation: incarnation, Body: c.body, ContentType: c.contentType, BodyChecksum: crc32.ChecksumIEEE(c.body), Depth: uint32(c.depth),
 	}
 	if server == n.Settings.Name {
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -24,6 +24,7 @@
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crbudget"
+	"github.com/citronramp/citronramp/pkg/crclock"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrecord"
@@ -44,7 +45,9 @@
 	// Incarnation changes each time the node starts; it is a fresh one when it is empty.
 	Incarnation string
 	Policy      Policy
-	Counters    cradmin.Counters
+	// Suspended returns for how long the machine was suspended so far; crclock.Suspended when nil.
+	Suspended func() time.Duration
+	Counters  cradmin.Counters
 
 	endpoint   *crwire.Endpoint
 	view       *crconfig.View
@@ -111,6 +114,9 @@
 		n.rnd = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		n.gate = n.newGate()
 		n.clock = crkeeper.NewClock()
+		if n.Suspended == nil {
+			n.Suspended = crclock.Suspended
+		}
 		n.quarantine.Server = n.Settings.Name
 	})
 }
--- a/internal/crnode/entrance.go
+++ b/internal/crnode/entrance.go
@@ -46,7 +46,7 @@
 	}
 	c := outcall{
 		id: id.String(), rootID: id.String(), kind: kind, priority: n.priority(kind, id.String()), contentType: h.contentType,
-		deadline: now.Add(shorter(h.deadline, kind.Deadline())),
+		deadline: n.deadlineIn(shorter(h.deadline, kind.Deadline())),
 	}
 	a := n.admitted(w, r, id, c)
 	n.Counters.Add("answers_"+a.code.Outcome().String(), 1)
@@ -73,7 +73,7 @@
 	if a, refused := n.refusedBelow(time.Now(), c); refused {
 		return a
 	}
-	body, err := n.readBody(w, r, c.deadline)
+	body, err := n.readBody(w, r, c.deadline.at)
 	if err != nil {
 		return refusalOf(err)
 	}
@@ -138,13 +138,13 @@
 	}
 	c := outcall{
 		rootID: e.rootID, kind: kind, priority: e.priority, holder: e.holder, depth: e.depth + 1, contentType: h.contentType,
-		deadline: earlier(e.deadline, time.Now().Add(shorter(h.deadline, kind.Deadline()))),
+		deadline: n.deadlineIn(min(n.left(e.deadline), shorter(h.deadline, kind.Deadline()))),
 	}
 	if c.id, err = e.deeperID(h, kind); err != nil {
 		writeAnswer(w, "", refusalOf(err))
 		return
 	}
-	if c.body, err = n.readBody(w, r, c.deadline); err != nil {
+	if c.body, err = n.readBody(w, r, c.deadline.at); err != nil {
 		writeAnswer(w, c.id, refusalOf(err))
 		return
 	}
--- a/internal/crnode/once.go
+++ b/internal/crnode/once.go
@@ -26,7 +26,7 @@
 // once runs a request that may not be repeated: the claim is granted before the run, and its end is recorded after.
 func (n *Node) once(ctx context.Context, r *run) answer {
 	digest := crrecord.DigestOf(r.req.GetService(), r.req.GetKind(), r.req.GetBody())
-	claimCtx, cancel := context.WithTimeout(ctx, min(claimTimeout, time.Until(r.deadline)))
+	claimCtx, cancel := context.WithTimeout(ctx, min(claimTimeout, n.left(r.deadline)))
 	grant, err := n.claims.Claim(claimCtx, n.clock(), r.id, digest)
 	cancel()
 	if err != nil {
@@ -41,7 +41,7 @@
 		n.Counters.Add("answers_replayed", 1)
 		return replayed(grant.Answer)
 	}
-	if time.Until(r.deadline) < minSendTime {
+	if n.left(r.deadline) < minSendTime {
 		n.claims.Release(grant)
 		return refusal(crcode.DeadlineExpired, "after the claim")
 	}
--- a/internal/crnode/running.go
+++ b/internal/crnode/running.go
@@ -28,7 +28,7 @@
 	service  string
 	kind     string
 	priority cradmission.Priority
-	deadline time.Time
+	deadline deadline
 	holder   holder
 	depth    int
 	ctx      context.Context
--- a/internal/crnode/serve.go
+++ b/internal/crnode/serve.go
@@ -51,7 +51,7 @@
 	}
 	r := &run{
 		kind: kind, priority: cradmission.Priority(req.GetPriority()), backend: ann, req: req,
-		deadline: now.Add(time.Duration(req.GetRemainingUs()) * time.Microsecond),
+		deadline: n.deadlineIn(time.Duration(req.GetRemainingUs()) * time.Microsecond),
 	}
 	return n.enter(ctx, r)
 }
@@ -60,7 +60,7 @@
 type run struct {
 	kind     kindInfo
 	priority cradmission.Priority
-	deadline time.Time
+	deadline deadline
 	backend  Announcement
 	req      *crwire.CallRequest
 	id       crrecord.ID
@@ -71,7 +71,7 @@
 
 // enter waits for a place and runs the call in it.
 func (n *Node) enter(ctx context.Context, r *run) (answer, time.Duration) {
-	e := entry{priority: r.priority, kind: r.kind.Name(), deadline: r.deadline, invested: r.req.GetDepth() > 0}
+	e := entry{priority: r.priority, kind: r.kind.Name(), deadline: r.deadline.at, invested: r.req.GetDepth() > 0}
 	if r.kind.Repeatable() && r.priority.Class() == cradmission.Ordinary {
 		var stop context.CancelCauseFunc
 		ctx, stop = context.WithCancelCause(ctx)
@@ -86,7 +86,7 @@
 	if !r.kind.Repeatable() {
 		// A started run goes on without its caller, so that its answer can be given to a resend.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline.Add(finishGrace))
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline.at.Add(finishGrace))
 		defer cancel()
 	}
 	start := time.Now()
@@ -134,7 +134,7 @@
 	if now, serving := n.lease.current(time.Now()); !serving || now.Instance != r.backend.Instance {
 		return refusal(crcode.Leaving, "")
 	}
-	if time.Until(r.deadline) < minSendTime {
+	if n.left(r.deadline) < minSendTime {
 		return refusal(crcode.DeadlineExpired, "")
 	}
 	if r.kind.Repeatable() || n.Policy != Adaptive {
@@ -160,13 +160,13 @@
 	runCtx := ctx
 	if r.kind.Repeatable() {
 		var cancel context.CancelFunc
-		runCtx, cancel = context.WithDeadline(ctx, r.deadline)
+		runCtx, cancel = context.WithDeadline(ctx, r.deadline.at)
 		defer cancel()
 	}
 	n.Counters.Add("runs", 1)
 	a := n.backend.run(runCtx, r.backend.Address, work{
 		id: r.req.GetRequestId(), kind: r.req.GetKind(), contentType: r.req.GetContentType(), body: r.req.GetBody(),
-		deadline: r.deadline, token: e.token,
+		left: n.left(r.deadline), token: e.token,
 	})
 	r.reached, r.elsewhere = e.services(), e.timeElsewhere()
 	return a
