crlog: a candidate waits twice as long after each lost round

Cause: a candidate gives its round up after 0.1 to 0.3 s and begins another one in a new term. Where a vote takes longer, since its voter waits for a processor or a disk, each round ends before its votes are there, and so does the next: no election ends. Ruled out: pre-votes; late answers to an earlier round count for the next one, which is of the same term. Change: the wait doubles with each lost round, up to the lease; a known leader resets it. The first round is as quick as before.

--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -171,6 +171,8 @@
 	heard    time.Time
 	deadline time.Time
 	votes    map[uint64]bool
+	// lost counts the rounds of elections since a leader was known.
+	lost int
 	// forced marks a candidacy that a resigning leader asked for; voters then ignore their lease.
 	forced bool
 
@@ -269,6 +271,9 @@
 		return
 	}
 	if !now.Before(n.deadline) && n.Members().isVoter(n.cfg.ID) {
+		if n.role != Follower {
+			n.lost++
+		}
 		n.campaign(now, PreCandidate)
 	}
 }
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -129,8 +129,7 @@
 	n.role, n.leader, n.leaderAddr = role, 0, ""
 	n.forced = n.forced && role == Candidate
 	n.votes = map[uint64]bool{n.cfg.ID: true}
-	// After a lost round no leader is known, so the next one may follow after some round trips.
-	n.deadline = now.Add(n.cfg.Heartbeat + n.jitter(2*n.cfg.Heartbeat))
+	n.deadline = now.Add(n.roundTime())
 	kind, term := PreVoteRequest, n.hard.Term+1
 	if role == Candidate {
 		n.hard = HardState{Term: term, Vote: n.cfg.ID}
@@ -145,6 +144,17 @@
 	n.countVotes(now)
 }
 
+// roundTime returns how long a candidate waits for votes: some round trips, and twice as long after each lost round, since the
+// votes of busy members may come later.
+func (n *Node) roundTime() time.Duration {
+	wait := n.cfg.Heartbeat
+	for i := 0; i < n.lost && wait < n.cfg.Lease; i++ {
+		wait *= 2
+	}
+	wait = min(wait, n.cfg.Lease)
+	return wait + n.jitter(2*wait)
+}
+
 func (n *Node) stepGrant(now time.Time, m Message) {
 	pre := m.Kind == PreVoteResponse
 	if m.Reject || pre != (n.role == PreCandidate) || !pre && n.role != Candidate {
@@ -195,7 +205,7 @@
 	if n.role != Follower {
 		n.becomeFollower(now, m.Term)
 	}
-	n.leader, n.leaderAddr = m.From, m.FromAddress
+	n.leader, n.leaderAddr, n.lost = m.From, m.FromAddress, 0
 	n.hard.Vote = m.From
 	n.heard = now
 	n.resetDeadline(now)
