--- a/internal/crcli/docs_test.go
+++ b/internal/crcli/docs_test.go
@@ -141,3 +141,39 @@
 		c.Check(strings.Contains(operators, "`"+key+"`") || strings.Contains(page(c, "docs/interface.md"), `"`+key+`"`), qt.IsTrue, qt.Commentf("key %s", key))
 	}
 }
+
+// TestPagesNameTests guards against a promise or condition that a page backs with a test which does not exist, or not in the
+// package that the page names.
+func TestPagesNameTests(t *testing.T) {
+	c := qt.New(t)
+	folders := map[string][]string{}
+	for _, pattern := range []string{"../../pkg/*", "../../internal/*", "../../platform"} {
+		found, err := filepath.Glob(pattern)
+		c.Assert(err, qt.IsNil)
+		for _, f := range found {
+			folders[filepath.Base(f)] = testsOf(c, f)
+		}
+	}
+	for _, name := range []string{"docs/conditions.md", "docs/proofs.md"} {
+		_, platform, _ := strings.Cut(page(c, name), "\n## ")
+		for _, m := range regexp.MustCompile("`([a-z]+)`: ((?:(?:Test|Fuzz)[A-Za-z]+(?: \\([a-z, ]+\\))?(?:, )?)+)").FindAllStringSubmatch(platform, -1) {
+			for _, test := range regexp.MustCompile("(?:Test|Fuzz)[A-Za-z]+").FindAllString(m[2], -1) {
+				c.Check(slices.Contains(folders[m[1]], test), qt.IsTrue, qt.Commentf("%s: %s has no %s", name, m[1], test))
+			}
+		}
+	}
+}
+
+// testsOf returns the names of the tests in a folder.
+func testsOf(c *qt.C, folder string) (out []string) {
+	files, err := filepath.Glob(filepath.Join(folder, "*_test.go"))
+	c.Assert(err, qt.IsNil)
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		c.Assert(err, qt.IsNil)
+		for _, m := range regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Za-z]+)\(`).FindAllStringSubmatch(string(text), -1) {
+			out = append(out, m[1])
+		}
+	}
+	return out
+}
