--- a/internal/crtest/crtest.go
+++ b/internal/crtest/crtest.go
@@ -353,3 +353,6 @@
 		return nil
 	})
 }
+
+// SilenceOpen stops the traffic of all connections between processes that are open, for good; new ones work.
+func (k *Cluster) SilenceOpen() { k.eachFront((*Forwarder).SilenceOpen) }
--- a/internal/crtest/forwarder.go
+++ b/internal/crtest/forwarder.go
@@ -26,6 +26,8 @@
 type link struct {
 	in, out net.Conn
 	hello   []byte
+	// silent links pass nothing on any more.
+	silent bool
 }
 
 func (l *link) by(name string) bool { return bytes.Contains(l.hello, []byte(name)) }
@@ -68,7 +70,16 @@
 // SilenceFrom stops or resumes the traffic of the connections that one process dialed.
 func (f *Forwarder) SilenceFrom(name string, on bool) { f.set(func() { f.from[name] = on }) }
 
-// Resume ends every silence.
+// SilenceOpen stops the traffic of all connections that are open for good; new ones work.
+func (f *Forwarder) SilenceOpen() {
+	f.set(func() {
+		for l := range f.links {
+			l.silent = true
+		}
+	})
+}
+
+// Resume ends every silence of a process.
 func (f *Forwarder) Resume() {
 	f.set(func() {
 		clear(f.from)
@@ -173,6 +184,9 @@
 }
 
 func (f *Forwarder) silencedFrom(l *link) bool {
+	if l.silent {
+		return true
+	}
 	for name, on := range f.from {
 		if on && l.by(name) {
 			return true
