crreplica: pending reads are asked again when a new term begins

Cause: since all reads take a round trip, one that was sent to a leader that is lost waits for its next try, which comes later and later; a coordinator is confirmed only then, and nodes take documents only then. Change: a new term makes all pending reads due.

--- a/internal/crreplica/crreplica.go
+++ b/internal/crreplica/crreplica.go
@@ -81,6 +81,7 @@
 	failed       error
 	reads        map[uint64]*command
 	nextRead     uint64
+	readTerm     uint64
 	transfer     *command
 	transferEnd  time.Time
 	snapshotting bool
--- a/internal/crreplica/loop.go
+++ b/internal/crreplica/loop.go
@@ -169,17 +169,23 @@
 	}
 }
 
-// retryReads asks again for reads whose answer is late.
+// retryReads asks again for reads whose answer is late, and for all when a new term has begun: an earlier leader answers none.
 func (r *Replica) retryReads(now time.Time) {
+	term := r.node.Hard().Term
+	moved := term != r.readTerm
+	r.readTerm = term
+	var due []*command
 	for id, c := range r.reads {
 		if c.ctx.Err() != nil {
 			delete(r.reads, id)
 			continue
 		}
-		if now.Before(c.retryAt) {
-			continue
+		if moved || !now.Before(c.retryAt) {
+			delete(r.reads, id)
+			due = append(due, c)
 		}
-		delete(r.reads, id)
+	}
+	for _, c := range due {
 		r.startRead(now, c)
 	}
 }
