--- a/internal/crspread/crspread.go
+++ b/internal/crspread/crspread.go
@@ -69,8 +69,7 @@
 	Version() crconfig.Version
 	// Changes returns the entries after a version; the zero version asks for the whole configuration.
 	Changes(from crconfig.Version) Changes
-	// Confirmed reports whether Version is, at present, at or above a commit index that the leader confirms by its
-	// lease or a read index.
+	// Confirmed reports whether Version is at or above a commit index that a read of the leader has confirmed lately.
 	Confirmed() bool
 }
 
