--- a/internal/crexchange/cut_test.go
+++ b/internal/crexchange/cut_test.go
@@ -109,3 +109,21 @@
 		})
 	}
 }
+
+// FuzzAnswer guards against bytes of a server that end the process, hold it up, or are taken for an answer to another request.
+func FuzzAnswer(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 503 Busy\r\nId: b\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "\r\n\r\n", "HTTP/9.9",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		s := serve(t, string(answer)+closeMark)
+		defer func() { _ = s.Close() }()
+		_, resp, err := do(t, client(s), "a")
+		if err == nil && resp.Header.Get("Id") != "a" {
+			t.Fatalf("taken for an answer: %q", answer)
+		}
+	})
+}
