--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -150,7 +150,7 @@
 	return d, nil
 }
 
-// confirmed reports whether this coordinator is a member that lacks nothing of what was acknowledged a moment ago.
+// confirmed reports whether this coordinator is a member that holds all that was acknowledged until lately.
 func (c *Coordinator) confirmed() bool { return c.confirmation.Valid(crclock.Now()) }
 
 // standing tells whether this coordinator is confirmed.
@@ -189,8 +189,8 @@
 	return err
 }
 
-// serveFeed sends each new document to a node, and regularly and on changes whether the version is confirmed. It first is when
-// a leader has been asked since the node came: a coordinator that was suspended must not begin with what it had before.
+// serveFeed sends each new document to a node, and regularly and on changes whether the version is confirmed. It is so only once a
+// leader has been asked since the node came: a coordinator that was suspended must not begin with what it had before.
 func (c *Coordinator) serveFeed(ctx context.Context, _ *crwire.Session, w *crwire.DocumentWatch, send func(*crwire.DocumentFeed) error) error {
 	have, came := w.GetHave(), crclock.Now()
 	c.confirmation.Hurry()
--- a/internal/crforward/registration.go
+++ b/internal/crforward/registration.go
@@ -50,7 +50,7 @@
 // checkBorn refuses a start that lies in the future: every later report of the server would count as one of an earlier lifetime.
 func checkBorn(now, born time.Time) error {
 	if born.IsZero() || born.Sub(now) > maxAhead {
-		return crcode.New(crcode.BadValue, "the server started at %s, which is not before now", born.UTC().Format(time.RFC3339))
+		return crcode.New(crcode.BadValue, "the start at %s lies in the future", born.UTC().Format(time.RFC3339))
 	}
 	return nil
 }
