crlog: a vote elects also after its round was given up, in place of longer and longer rounds

Cause: the waits that double with each lost round end elections on slow machines, but a member that was alone for some seconds then waits up to 3 s when the others are back, where it waited 0.3 s; found by reading, before it was seen. Change: rounds are as short as they were. A candidate keeps the votes of its term while it asks for the next one, and leads when a majority has come; until it begins the next term nothing speaks against it. Ruled out: both together; not needed.

--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -170,9 +170,8 @@
 	// heard is when a message of a leader arrived last; within Lease after it others get no vote.
 	heard    time.Time
 	deadline time.Time
-	votes    map[uint64]bool
-	// lost counts the rounds of elections since a leader was known.
-	lost int
+	// votes are those for this member in the present term, preVotes those of the present round before the next one.
+	votes, preVotes map[uint64]bool
 	// forced marks a candidacy that a resigning leader asked for; voters then ignore their lease.
 	forced bool
 
@@ -271,9 +270,6 @@
 		return
 	}
 	if !now.Before(n.deadline) && n.Members().isVoter(n.cfg.ID) {
-		if n.role != Follower {
-			n.lost++
-		}
 		n.campaign(now, PreCandidate)
 	}
 }
--- a/pkg/crlog/election.go
+++ b/pkg/crlog/election.go
@@ -128,11 +128,13 @@
 func (n *Node) campaign(now time.Time, role Role) {
 	n.role, n.leader, n.leaderAddr = role, 0, ""
 	n.forced = n.forced && role == Candidate
-	n.votes = map[uint64]bool{n.cfg.ID: true}
-	n.deadline = now.Add(n.roundTime())
+	n.preVotes = map[uint64]bool{n.cfg.ID: true}
+	// After a lost round no leader is known, so the next one may follow after some round trips.
+	n.deadline = now.Add(n.cfg.Heartbeat + n.jitter(2*n.cfg.Heartbeat))
 	kind, term := PreVoteRequest, n.hard.Term+1
 	if role == Candidate {
 		n.hard = HardState{Term: term, Vote: n.cfg.ID}
+		n.votes = map[uint64]bool{n.cfg.ID: true}
 		kind = VoteRequest
 	}
 	last := n.log.last()
@@ -144,44 +146,40 @@
 	n.countVotes(now)
 }
 
-// roundTime returns how long a candidate waits for votes: some round trips, and twice as long after each lost round, since the
-// votes of busy members may come later.
-func (n *Node) roundTime() time.Duration {
-	wait := n.cfg.Heartbeat
-	for i := 0; i < n.lost && wait < n.cfg.Lease; i++ {
-		wait *= 2
-	}
-	wait = min(wait, n.cfg.Lease)
-	return wait + n.jitter(2*wait)
-}
-
+// stepGrant takes a vote. One for the present term counts also while the next term is prepared: where votes take longer than a
+// round, no election would end otherwise.
 func (n *Node) stepGrant(now time.Time, m Message) {
-	pre := m.Kind == PreVoteResponse
-	if m.Reject || pre != (n.role == PreCandidate) || !pre && n.role != Candidate {
+	switch {
+	case m.Reject || n.role != PreCandidate && n.role != Candidate:
 		return
-	}
-	if pre && m.Term != n.hard.Term+1 {
+	case m.Kind == VoteResponse && n.votes != nil:
+		n.votes[m.From] = true
+	case m.Kind == PreVoteResponse && n.role == PreCandidate && m.Term == n.hard.Term+1:
+		n.preVotes[m.From] = true
+	default:
 		return
 	}
-	n.votes[m.From] = true
 	n.countVotes(now)
 }
 
 func (n *Node) countVotes(now time.Time) {
-	won, ok := quorum(n.Members(), func(id uint64) int {
-		if n.votes[id] {
+	switch {
+	case n.elected(n.votes):
+		n.becomeLeader(now)
+	case n.role == PreCandidate && n.elected(n.preVotes):
+		n.campaign(now, Candidate)
+	}
+}
+
+// elected reports whether a majority has given its vote.
+func (n *Node) elected(votes map[uint64]bool) bool {
+	given, ok := quorum(n.Members(), func(id uint64) int {
+		if votes[id] {
 			return 1
 		}
 		return 0
 	}, cmp.Compare[int])
-	if !ok || won == 0 {
-		return
-	}
-	if n.role == PreCandidate {
-		n.campaign(now, Candidate)
-		return
-	}
-	n.becomeLeader(now)
+	return ok && given == 1
 }
 
 func (n *Node) becomeFollower(now time.Time, term uint64) {
@@ -194,7 +192,7 @@
 		n.leader, n.leaderAddr = 0, ""
 	}
 	n.dropReads()
-	n.role, n.lead, n.votes, n.forced = Follower, nil, nil, false
+	n.role, n.lead, n.votes, n.preVotes, n.forced = Follower, nil, nil, nil, false
 	n.resetDeadline(now)
 }
 
@@ -205,7 +203,7 @@
 	if n.role != Follower {
 		n.becomeFollower(now, m.Term)
 	}
-	n.leader, n.leaderAddr, n.lost = m.From, m.FromAddress, 0
+	n.leader, n.leaderAddr = m.From, m.FromAddress
 	n.hard.Vote = m.From
 	n.heard = now
 	n.resetDeadline(now)
--- a/pkg/crlog/leader.go
+++ b/pkg/crlog/leader.go
@@ -46,7 +46,8 @@
 }
 
 func (n *Node) becomeLeader(now time.Time) {
-	n.role, n.leader, n.leaderAddr, n.votes, n.forced, n.lost = Leader, n.cfg.ID, n.cfg.Address, nil, false, 0
+	n.role, n.leader, n.leaderAddr, n.forced = Leader, n.cfg.ID, n.cfg.Address, false
+	n.votes, n.preVotes = nil, nil
 	n.lead = &leadership{peers: make(map[uint64]*peer), quorumAt: now}
 	n.syncPeers(now)
 	n.log.append(Entry{Index: n.log.last() + 1, Term: n.hard.Term, Kind: Noop})
