--- a/internal/cradmin/suspension.go
+++ b/internal/cradmin/suspension.go
@@ -28,8 +28,10 @@
 	return slept
 }
 
-// WatchSuspensions counts suspensions of the machine and passes each to report until ctx ends.
+// WatchSuspensions counts suspensions of the machine and passes each to report until ctx ends. The counters are shown from the
+// start.
 func WatchSuspensions(ctx context.Context, counters *Counters, report func(slept time.Duration)) {
+	counters.Declare("suspensions", "suspended_ms")
 	var seen suspensions
 	crpause.Every(ctx, suspensionInterval, func() {
 		slept := seen.observe(crclock.Suspended())
