crnode: a call that comes when its time is over raises no level

Cause: a call without time left counted as a wait of the longest kind; some of them in one window of 200 ms made an idle server refuse other calls. Change: only a call that had time left and would have waited too long is counted.

--- a/internal/crnode/gate.go
+++ b/internal/crnode/gate.go
@@ -99,8 +99,10 @@
 		return nil, g.overloaded(e.priority, "below the level of this server")
 	}
 	if need := g.limiter.Expected(e.kind, g.queue.Ahead(e.priority, time.Time{})); now.Add(need).After(e.deadline) {
-		// The wait was refused, not spent; the level must see it all the same.
-		g.level.Waited(now, g.maxWait)
+		if now.Before(e.deadline) {
+			// The wait was refused, not spent; the level must see it all the same.
+			g.level.Waited(now, g.maxWait)
+		}
 		return nil, crcode.New(crcode.DeadlineExpired, "%s left, %s expected", e.deadline.Sub(now).Round(time.Millisecond), need.Round(time.Millisecond))
 	}
 	item := &cradmission.Item{Priority: e.priority, Deadline: g.waitUntil(now, e), Value: make(chan verdict, 1)}
--- a/internal/crnode/gate_test.go
+++ b/internal/crnode/gate_test.go
@@ -141,3 +141,20 @@
 	c.Assert(times.weigh("route/plan", 0), qt.Equals, uint32(1))
 	c.Assert(times.weigh("new/kind", 1_000_000) > times.weigh("new/kind", 999_999), qt.IsTrue)
 }
+
+// TestExpiredCallsRaiseNoLevel guards against an idle server that refuses calls since others came when their time was over:
+// they have not waited here.
+func TestExpiredCallsRaiseNoLevel(t *testing.T) {
+	g := newAdaptiveGate(8, 64, 100*time.Millisecond)
+	leave, err := g.enter(t.Context(), entry{kind: "read", deadline: time.Now().Add(time.Minute)})
+	qt.Assert(t, err, qt.IsNil)
+	leave(crlimiter.Sample{Kind: "read", Latency: time.Millisecond})
+	for range 20 {
+		_, err := g.enter(t.Context(), entry{kind: "read", deadline: time.Now().Add(-time.Second)})
+		qt.Assert(t, crcode.Of(err), qt.Equals, crcode.DeadlineExpired)
+	}
+	g.tick(time.Now().Add(time.Second))
+	leave, err = g.enter(t.Context(), entry{kind: "read", deadline: time.Now().Add(time.Minute)})
+	qt.Assert(t, err, qt.IsNil)
+	leave(crlimiter.Sample{Kind: "read", Latency: time.Millisecond})
+}
