--- a/internal/crcontrol/dump.go
+++ b/internal/crcontrol/dump.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crdirectory"
-	"github.com/citronramp/citronramp/internal/crreplica"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crclock"
 )
@@ -37,7 +36,8 @@
 	st := c.replica.Status()
 	root := c.root.Status()
 	directory := c.directory.Status()
-	confirmAge, confirmed := c.confirm.Age(crclock.Now())
+	now := crclock.Now()
+	confirmAge, _ := c.confirm.Age(now)
 	lastError := ""
 	if st.LastError != nil {
 		lastError = st.LastError.Error()
@@ -73,7 +73,7 @@
 		Role: "control", Name: c.Settings.Name, MemberID: c.replica.ID, LogRole: st.Role.String(), Term: st.Term, Leader: st.LeaderAddress,
 		Leads: st.Leads, LeaseMS: st.Lease.Milliseconds(), First: st.First, Last: st.Last, Commit: st.Commit, Applied: st.StateApplied,
 		Snapshot: st.SnapshotIndex, LogBytes: st.LogBytes, LastError: lastError, Settled: st.Settled, Members: c.dumpMembers(),
-		Observers: st.Observers, Overflow: st.Overflow, Version: c.machine.Version().String(), Confirmed: confirmed && confirmAge < crreplica.ConfirmLife,
+		Observers: st.Observers, Overflow: st.Overflow, Version: c.machine.Version().String(), Confirmed: c.confirm.Valid(now),
 		ConfirmedMS: confirmAge.Milliseconds(),
 		Tree: struct {
 			Version  string   `json:"version"`
--- a/internal/crcoord/crcoord_test.go
+++ b/internal/crcoord/crcoord_test.go
@@ -105,6 +105,16 @@
 	return p.Coordinator
 }
 
+// startAll runs a coordinator at each address, for the first time.
+func (c *core) startAll(at []string) map[string]*crcoord.Coordinator {
+	c.t.Helper()
+	procs := map[string]*crcoord.Coordinator{}
+	for i, a := range at {
+		procs[a] = c.start(a, strconv.Itoa(i), true)
+	}
+	return procs
+}
+
 func (c *core) stop(address string) {
 	c.mu.Lock()
 	p := c.procs[address]
@@ -166,10 +176,7 @@
 // coordinator that comes back without its disk in again by itself before the next one loses its own.
 func TestLostDisks(t *testing.T) {
 	c, at := newCore(t, 3)
-	procs := map[string]*crcoord.Coordinator{}
-	for i, a := range at {
-		procs[a] = c.start(a, strconv.Itoa(i), true)
-	}
+	procs := c.startAll(at)
 	put(t, procs[at[0]], 5, 0)
 	for i, a := range at {
 		c.stop(a)
@@ -349,10 +356,7 @@
 // power: a process without the log answers at its address, so it cannot lead any more.
 func TestLeaderLosesDisk(t *testing.T) {
 	c, at := newCore(t, 3)
-	procs := map[string]*crcoord.Coordinator{}
-	for i, a := range at {
-		procs[a] = c.start(a, strconv.Itoa(i), true)
-	}
+	procs := c.startAll(at)
 	put(t, procs[at[0]], 5, 0)
 	leader := ""
 	for _, a := range at {
@@ -386,10 +390,7 @@
 // confirmed before the node came and has lost the majority since, as after a sleep.
 func TestOldConfirmation(t *testing.T) {
 	c, at := newCore(t, 3)
-	procs := map[string]*crcoord.Coordinator{}
-	for i, a := range at {
-		procs[a] = c.start(a, strconv.Itoa(i), true)
-	}
+	procs := c.startAll(at)
 	put(t, procs[at[0]], 5, 0)
 	var leader string
 	eventually(t, func() bool {
--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -140,6 +140,9 @@
 
 // take returns an idle connection that is still sound, or a new one.
 func (c *Client) take(ctx context.Context, r *Request) (*conn, error) {
+	if !c.identified(r) {
+		return c.dial(ctx)
+	}
 	id := c.digest(r)
 	for cn := c.pick(id); cn != nil; cn = c.pick(id) {
 		if time.Now().Before(cn.until) && quiet(cn.Conn) {
@@ -159,11 +162,8 @@
 func (c *Client) pick(id uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ID != nil && id == noID {
-		return nil
-	}
 	for i, cn := range slices.Backward(c.idle) {
-		if c.ID == nil || !cn.carried.has(id) {
+		if !cn.carried.has(id) {
 			c.idle = slices.Delete(c.idle, i, i+1)
 			return cn
 		}
@@ -257,7 +257,7 @@
 // receive reads heads until the own response comes; late answers to earlier requests are skipped.
 func (c *Client) receive(cn *conn, r *Request) (*Response, error) {
 	request := &http.Request{Method: r.Method}
-	clean := true
+	clean := c.identified(r)
 	for strays, interim := 0, 0; ; {
 		cn.meter.left = maxHeaderBytes
 		hr, err := http.ReadResponse(cn.reader, request)
@@ -392,7 +392,7 @@
 func (c *Client) give(cn *conn, keep time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle) >= c.MaxIdle || c.ID != nil && cn.carried.has(noID) {
+	if c.closed || len(c.idle) >= c.MaxIdle {
 		return false
 	}
 	cn.until = time.Now().Add(keep)
--- a/internal/crexchange/crexchange_test.go
+++ b/internal/crexchange/crexchange_test.go
@@ -131,6 +131,28 @@
 	qt.Assert(t, s.conns.Load(), qt.Equals, int64(1))
 }
 
+// TestConnectionsWithoutID guards against a request without an id on a connection that others use, and against a client without
+// ids that keeps no connection.
+func TestConnectionsWithoutID(t *testing.T) {
+	const plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, x := range []struct {
+		ids   bool
+		conns int64
+	}{{true, 3}, {false, 1}} {
+		s := serve(t, plain, plain, plain)
+		c := client(s)
+		if !x.ids {
+			c.ID = nil
+		}
+		for range 3 {
+			body, _, err := do(t, c, "")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, body, qt.Equals, "ok")
+		}
+		qt.Assert(t, s.conns.Load(), qt.Equals, x.conns)
+	}
+}
+
 // TestNotSent guards against a failure without any byte sent that looks as if the request may have run.
 func TestNotSent(t *testing.T) {
 	s := serve(t)
--- a/internal/crreplica/confirm.go
+++ b/internal/crreplica/confirm.go
@@ -105,13 +105,10 @@
 }
 
 // Valid reports whether the state is as young as ConfirmLife.
-func (c *Confirmation) Valid(now time.Time) bool {
-	age, ok := c.Age(now)
-	return ok && age < ConfirmLife
-}
+func (c *Confirmation) Valid(now time.Time) bool { return c.Since(now, time.Time{}) }
 
 // Since reports whether the state is valid and holds all that was acknowledged before a time.
 func (c *Confirmation) Since(now, t time.Time) bool {
 	age, ok := c.Age(now)
-	return ok && age < ConfirmLife && !now.Add(-age).Before(t)
+	return ok && age < ConfirmLife && age <= now.Sub(t)
 }
