--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// deployment is a started fleet with a server beside each node.
+type deployment struct {
+	*fleet
+	servers []*server
+}
+
+func deploy(r *record, routes []route, pairs ...string) (*deployment, error) {
+	f, err := newFleet(r, pairs...)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{fleet: f}
+	if err := d.fleet.start(routes...); err != nil {
+		d.stop()
+		return nil, err
+	}
+	for _, m := range f.sidecars {
+		s, err := startServer(m)
+		if err != nil {
+			d.stop()
+			return nil, err
+		}
+		d.servers = append(d.servers, s)
+	}
+	return d, nil
+}
+
+func (d *deployment) stop() {
+	d.fleet.stop()
+	for _, s := range d.servers {
+		s.stop()
+	}
+}
+
+// warmUp sends requests from a machine until ten in a row have been answered by servers.
+func (d *deployment) warmUp(m *machine, r request) error {
+	inRow := 0
+	for i, end := 0, time.Now().Add(15*time.Second); time.Now().Before(end); i++ {
+		r.id = fmt.Sprintf("warm-%s-%d", m.name, i)
+		if out := once(m, r); out.err == nil && out.status == http.StatusOK {
+			inRow++
+		} else {
+			inRow = 0
+			time.Sleep(100 * time.Millisecond)
+		}
+		if inRow == 10 {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s does not serve %s", m.name, r.path)
+}
+
+// once sends a request on a connection of its own.
+func once(m *machine, r request) result {
+	c, err := dial(m)
+	if err != nil {
+		return result{request: r, sentAt: time.Now(), err: errNotConnected{err}}
+	}
+	defer func() { _ = c.Close() }()
+	return c.exchange(r)
+}
+
+// errNotConnected is the error of a request that was never sent.
+type errNotConnected struct{ error }
+
+// results collects what clients saw.
+type results struct {
+	record *record
+	mu     sync.Mutex
+	list   []result
+	wg     sync.WaitGroup
+}
+
+func (s *results) add(r result) {
+	s.record.printf("%s", r.describe())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, r)
+}
+
+// lookAndRecord are a route whose requests may be repeated and one whose requests may not.
+var lookAndRecord = []route{{"look", "/look/", "idempotent", "njia"}, {"record", "/record/", "non_idempotent", "daftari"}}
+
+// playStop sends SIGTERM to a node while a request of another machine runs long on the server beside it, and clients of its
+// machine go on sending. The machine is the only one of its zone, so the readiness check does not keep the clients away.
+func playStop(r *record, trouble bool) (bool, error) {
+	d, err := deploy(r, lookAndRecord, "nyanda-a njia", "nyanda-b daftari", "nyanda-c daftari")
+	if err != nil {
+		return false, err
+	}
+	defer d.stop()
+	stopped, other := d.sidecars[0], d.sidecars[1]
+	if err := d.warmUp(other, request{method: http.MethodGet, path: "/look/20/100/w", budget: 5 * time.Second}); err != nil {
+		return false, err
+	}
+	if err := d.warmUp(stopped, request{method: http.MethodPost, path: "/record/20/100/w", budget: 5 * time.Second}); err != nil {
+		return false, err
+	}
+	seen := &results{record: r}
+	began := time.Now()
+	long := request{id: "long", method: http.MethodGet, path: "/look/7500/100/long", budget: 9500 * time.Millisecond}
+	seen.wg.Go(func() { r.printf("%s", once(other, long).describe()) })
+	time.Sleep(500 * time.Millisecond)
+	termAt := time.Now()
+	if trouble {
+		stopped.signal(syscall.SIGTERM)
+	}
+	for i := 0; time.Since(termAt) < grace; i++ {
+		q := request{id: fmt.Sprintf("sack-%d", i), method: http.MethodPost, path: "/record/300/100/" + fmt.Sprint(i), budget: 5 * time.Second}
+		r.printf("send %s at %s, %.3f s after the SIGTERM", q.id, stopped.name, time.Since(termAt).Seconds())
+		seen.wg.Go(func() { seen.add(once(stopped, q)) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	seen.wg.Wait()
+	r.printf("the traffic ended %.1f s after it began", time.Since(began).Seconds())
+	return lostAround(r, d, seen.list, termAt) > 0, nil
+}
+
+// lostAround counts the requests that were passed on to a server and whose connection ended without a complete answer. It
+// leaves out those that the rule leaves out: a server that was still at work in the last sixth of the grace time on a
+// request that was sent no later than 3 s after the SIGTERM, and requests whose time budget was reached.
+func lostAround(r *record, d *deployment, list []result, termAt time.Time) int {
+	runs := map[string]run{}
+	for _, s := range d.servers {
+		for _, x := range s.ran() {
+			runs[x.id] = x
+		}
+	}
+	lost := 0
+	for _, q := range list {
+		x, ran := runs[q.id]
+		if q.err == nil || !ran {
+			continue
+		}
+		lastSixth := termAt.Add(grace * 5 / 6)
+		excused := q.sentAt.Sub(termAt) <= 3*time.Second && (x.ended.IsZero() || x.ended.After(lastSixth))
+		if excused || time.Since(q.sentAt) > q.budget && x.ended.IsZero() {
+			continue
+		}
+		r.printf("LOST: %s was sent %.3f s after the SIGTERM, ran on a server, and got no complete answer: %v", q.id, q.sentAt.Sub(termAt).Seconds(), q.err)
+		lost++
+	}
+	return lost
+}
+
+// playSlowReader lets clients pause for 2.5 s while they read an answer of 400 kB on a kept connection.
+func playSlowReader(r *record, trouble bool) (bool, error) {
+	d, err := deploy(r, lookAndRecord, "nyanda-a njia", "nyanda-b njia", "nyanda-c daftari")
+	if err != nil {
+		return false, err
+	}
+	defer d.stop()
+	entrance := d.sidecars[2]
+	if err := d.warmUp(entrance, request{method: http.MethodGet, path: "/look/20/100/w", budget: 5 * time.Second}); err != nil {
+		return false, err
+	}
+	time.Sleep(contact)
+	seen := &results{record: r}
+	for i := range 6 {
+		seen.wg.Go(func() {
+			for k := range 2 {
+				slowClient(entrance, fmt.Sprintf("slow-%d-%d", i, k), trouble, seen)
+			}
+		})
+	}
+	seen.wg.Wait()
+	cut := 0
+	for _, q := range seen.list {
+		if q.err != nil {
+			cut++
+		}
+	}
+	r.printf("%d of %d answers did not come whole; more than three break the rule", cut, len(seen.list))
+	return cut > 3, nil
+}
+
+// slowClient sends two requests on one connection: a small one, and a large one whose answer it reads slowly.
+func slowClient(m *machine, id string, slow bool, seen *results) {
+	c, err := dial(m)
+	if err != nil {
+		seen.add(result{request: request{id: id}, sentAt: time.Now(), err: err})
+		return
+	}
+	defer func() { _ = c.Close() }()
+	small := c.exchange(request{id: id + "-a", method: http.MethodGet, path: "/look/20/100/" + id, budget: 9 * time.Second})
+	seen.add(small)
+	if small.err != nil || small.closes {
+		return
+	}
+	large := request{id: id + "-b", method: http.MethodGet, path: "/look/50/400000/" + id, budget: 9 * time.Second}
+	if slow {
+		large.pause = 2500 * time.Millisecond
+	}
+	seen.add(c.exchange(large))
+}
+
+// Times of playDeparture, from the confirmation of the deregistration.
+const (
+	killAfter    = 200 * time.Millisecond
+	backAfter    = 900 * time.Millisecond // after the kill
+	lateAfter    = 4 * time.Second
+	servesFor    = 12 * time.Second
+	departureEnd = 12 * time.Second
+)
+
+// playDeparture lets a server deregister, has the node beside it confirm that, kills the core and two nodes at one moment,
+// starts them again, and delivers a heartbeat that the server had sent before it deregistered.
+func playDeparture(r *record, trouble bool) (bool, error) {
+	d, err := deploy(r, lookAndRecord, "nyanda-a njia", "nyanda-b njia", "nyanda-c daftari")
+	if err != nil {
+		return false, err
+	}
+	defer d.stop()
+	leaver, entrance := d.servers[0], d.sidecars[2]
+	if err := d.warmUp(entrance, request{method: http.MethodGet, path: "/look/20/100/w", budget: 5 * time.Second}); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * contact)
+	late := leaver.heartbeat()
+	status, err := leaver.deregister()
+	ackedAt := time.Now()
+	r.printf("%s deregisters: %d %v", leaver.id, status, err)
+	if err != nil || status != http.StatusOK {
+		return false, fmt.Errorf("the deregistration was not confirmed: %d %v", status, err)
+	}
+	startedAt := ackedAt
+	if trouble {
+		time.Sleep(killAfter)
+		if startedAt, err = d.herdKill(append(d.cores, d.sidecars[:2]...)); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(time.Until(ackedAt.Add(lateAfter)))
+	status, err = leaver.send(late)
+	r.printf("the heartbeat that was sent before the deregistration arrives %.1f s after the confirmation: %d %v", time.Since(ackedAt).Seconds(), status, err)
+	seen := &results{record: r}
+	for i := 0; time.Since(ackedAt) < departureEnd; i++ {
+		q := request{id: fmt.Sprintf("look-%d", i), method: http.MethodGet, path: fmt.Sprintf("/look/20/100/%d", i), budget: 5 * time.Second}
+		seen.wg.Go(func() { seen.add(once(entrance, q)) })
+		time.Sleep(50 * time.Millisecond)
+	}
+	seen.wg.Wait()
+	return runsAfterLeave(r, leaver, seen.list, ackedAt, startedAt) > 0, nil
+}
+
+// herdKill kills the machines' processes at one moment, starts them again and returns when the last one was started.
+func (d *deployment) herdKill(list []*machine) (time.Time, error) {
+	for _, m := range list {
+		m.signal(syscall.SIGKILL)
+	}
+	time.Sleep(backAfter)
+	for _, m := range list {
+		<-m.ended
+		if err := m.start(); err != nil {
+			return time.Time{}, err
+		}
+	}
+	return time.Now(), nil
+}
+
+// runsAfterLeave counts the requests that reached the server later than the drain time after its leave was confirmed. It
+// counts only requests that were sent at least twice the contact time after the last start, when all machines are in touch.
+func runsAfterLeave(r *record, leaver *server, list []result, ackedAt, startedAt time.Time) int {
+	sentAt := map[string]time.Time{}
+	for _, q := range list {
+		sentAt[q.id] = q.sentAt
+	}
+	count := 0
+	for _, x := range leaver.ran() {
+		sent, ok := sentAt[x.id]
+		if !ok || x.began.Sub(ackedAt) <= drain || sent.Sub(startedAt) < 2*contact {
+			continue
+		}
+		r.printf("DRAIN: %s reached %s %.3f s after its leave was confirmed", x.id, leaver.id, x.began.Sub(ackedAt).Seconds())
+		count++
+	}
+	return count
+}
