--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,8 @@
 	"stop":      playStop,
 	"slow":      playSlowReader,
 	"departure": playDeparture,
+	"early":     playEarly,
+	"upload":    playUpload,
 }
 
 func main() { os.Exit(mainCode(os.Args)) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,6 +30,7 @@
 	mu       sync.Mutex
 	sequence int
 	runs     []run
+	uploads  []upload
 }
 
 // run is one request that the server began to run.
@@ -107,6 +109,11 @@
 	}
 	i := s.begin(id)
 	s.machine.fleet.record.printf("run %s begins at %s", id, s.machine.name)
+	if strings.HasPrefix(r.URL.Path, "/early/") {
+		s.serveEarly(w, r)
+		s.finish(i, "early")
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -177,3 +184,60 @@
 func answer(id string, size int) string {
 	return strings.Repeat(id+"\n", size/(len(id)+1)+1)[:size]
 }
+
+// Sizes of the answer of an early server: what it sends before it has read the body, and what it sends after it.
+const (
+	earlyBytes = 100 << 10
+	lastBytes  = 30 << 10
+)
+
+// serveEarly answers an upload before it has read the body, reads on, and ends its answer after the body. The body of an
+// upload counts up (see countingBody), so the server sees whether each byte is the one that the client sent there.
+func (s *server) serveEarly(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerID)
+	w.Header().Set(headerStamp, "3e1b.07.5a2.600.0."+id)
+	w.Header().Set("Content-Length", strconv.Itoa(earlyBytes+lastBytes))
+	// The standard server would read the body itself before it answers.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		return
+	}
+	body := answer(id, earlyBytes+lastBytes)
+	_, _ = io.WriteString(w, body[:earlyBytes])
+	_ = http.NewResponseController(w).Flush()
+	n, wrongAt, err := checkCounting(r.Body)
+	s.mu.Lock()
+	s.uploads = append(s.uploads, upload{id, n, wrongAt, err})
+	s.mu.Unlock()
+	s.machine.fleet.record.printf("upload %s at %s: %d bytes, first byte that is not the client's at %d, end of the body: %v", id, s.machine.name, n, wrongAt, err)
+	_, _ = io.WriteString(w, body[earlyBytes:])
+}
+
+// upload is what the server received of the body of an upload; wrongAt is -1 if every byte was the client's, and err is nil if
+// the body looked complete.
+type upload struct {
+	id      string
+	bytes   int
+	wrongAt int
+	err     error
+}
+
+// countingBody returns a body in which the four bytes at each multiple of four hold their position.
+func countingBody(size int) []byte {
+	b := make([]byte, size)
+	for i := 0; i+4 <= size; i += 4 {
+		binary.BigEndian.PutUint32(b[i:], uint32(i))
+	}
+	return b
+}
+
+// checkCounting reads a counting body and returns its size, the position of the first wrong byte and the error at its end.
+func checkCounting(r io.Reader) (n, wrongAt int, err error) {
+	got, err := io.ReadAll(r)
+	want := countingBody(len(got) / 4 * 4)
+	for i := range want {
+		if got[i] != want[i] {
+			return len(got), i, err
+		}
+	}
+	return len(got), -1, err
+}
