--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -177,14 +177,47 @@
 		})
 	}
 	seen.wg.Wait()
+	atAnyTime := cutAtAnyTime(r, seen.list)
+	large := request{method: http.MethodGet, path: "/look/50/400000/x", budget: 4500 * time.Millisecond}
+	if trouble {
+		large.pause = slowPause
+	}
+	return cutAroundStop(r, d, entrance, large) > 0 || atAnyTime > 3, nil
+}
+
+// slowPause is how long a slow client does not read.
+const slowPause = 2500 * time.Millisecond
+
+// cutAtAnyTime counts the requests on kept connections that got no complete answer.
+func cutAtAnyTime(r *record, list []result) int {
 	cut := 0
-	for _, q := range seen.list {
+	for _, q := range list {
 		if q.err != nil {
 			cut++
 		}
 	}
-	r.printf("%d of %d answers did not come whole; more than three break the rule", cut, len(seen.list))
-	return cut > 3, nil
+	r.printf("LOST at any time: %d of %d requests on kept connections got no complete answer; more than three break the rule", cut, len(list))
+	return cut
+}
+
+// cutAroundStop sends SIGTERM to the entrance and, in the second after it, requests like the given one. Clients of the
+// machine notice the stop only at the second missed readiness check. It returns the number of the requests that were passed
+// on to a server and got no complete answer.
+func cutAroundStop(r *record, d *deployment, entrance *machine, like request) int {
+	seen := &results{record: r}
+	termAt := time.Now()
+	entrance.signal(syscall.SIGTERM)
+	for i := range 5 {
+		q := like
+		q.id = fmt.Sprintf("stop-%d", i)
+		r.printf("send %s, %.3f s after the SIGTERM", q.id, time.Since(termAt).Seconds())
+		seen.wg.Go(func() { seen.add(once(entrance, q)) })
+		time.Sleep(150 * time.Millisecond)
+	}
+	seen.wg.Wait()
+	lost := lostAround(r, d, seen.list, termAt)
+	r.printf("LOST around planned work: %d of %d requests; one breaks the rule", lost, len(seen.list))
+	return lost
 }
 
 // slowClient sends two requests on one connection: a small one, and a large one whose answer it reads slowly.
@@ -202,7 +235,7 @@
 	}
 	large := request{id: id + "-b", method: http.MethodGet, path: "/look/50/400000/" + id, budget: 4500 * time.Millisecond}
 	if slow {
-		large.pause = 2500 * time.Millisecond
+		large.pause = slowPause
 	}
 	seen.add(c.exchange(large))
 }
@@ -356,14 +389,9 @@
 	for i := range 20 {
 		uploadOnKept(entrance, fmt.Sprintf("plate-%d", i), countingBody(size), seen)
 	}
-	cut := 0
-	for _, q := range seen.list {
-		if q.err != nil {
-			cut++
-		}
-	}
-	r.printf("%d of %d requests got no whole answer; more than three break the rule", cut, len(seen.list))
-	return cut > 3, nil
+	atAnyTime := cutAtAnyTime(r, seen.list)
+	like := request{method: http.MethodPost, path: "/upload/50/200000/x", budget: 5 * time.Second, body: countingBody(size)}
+	return cutAroundStop(r, d, entrance, like) > 0 || atAnyTime > 3, nil
 }
 
 // uploadOnKept sends a small request and then an upload on one connection.
