--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -88,14 +88,25 @@
 	s.list = append(s.list, r)
 }
 
-// lookAndRecord are a route whose requests may be repeated and one whose requests may not.
-var lookAndRecord = []route{{"look", "/look/", "idempotent", "njia"}, {"record", "/record/", "non_idempotent", "daftari"}}
+// all returns the results so far.
+func (s *results) all() []result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]result(nil), s.list...)
+}
+
+// lookAndRecord are a route whose requests may be repeated, one whose requests make calls, and one whose requests may not be
+// repeated.
+var lookAndRecord = []route{
+	{"look", "/look/", "idempotent", "njia"}, {"chain", "/chain/", "idempotent", "njia"}, {"record", "/record/", "non_idempotent", "daftari"},
+}
 
 // longAfter is when the long request of playStop is sent after the SIGTERM, while the node still takes work for its server.
 const longAfter = 1900 * time.Millisecond
 
-// playStop sends SIGTERM to a node while a request of another machine runs long on the server beside it, and clients of its
-// machine go on sending. The machine is the only one of its zone, so the readiness check does not keep the clients away.
+// playStop sends SIGTERM to a node while a request of another machine runs long on the server beside it and makes calls, and
+// clients of its machine go on sending. The machine is the only one of its zone, so the readiness check does not keep the
+// clients away.
 func playStop(r *record, trouble bool) (bool, error) {
 	d, err := deploy(r, lookAndRecord, "nyanda-a njia", "nyanda-b daftari", "nyanda-c daftari")
 	if err != nil {
@@ -114,7 +125,7 @@
 	if trouble {
 		stopped.signal(syscall.SIGTERM)
 	}
-	long := request{id: "long", method: http.MethodGet, path: "/look/3500/100/long", budget: 5 * time.Second}
+	long := request{id: "long", method: http.MethodGet, path: "/chain/3500/100/long", budget: 5 * time.Second}
 	time.AfterFunc(longAfter, func() {
 		r.printf("send %s at %s, for the server beside %s", long.id, other.name, stopped.name)
 		r.printf("%s", once(other, long).describe())
@@ -126,7 +137,11 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	seen.wg.Wait()
-	return lostAround(r, d, seen.list, termAt) > 0, nil
+	fromClients := lostAround(r, d, seen.list, termAt)
+	calls := d.servers[0].calls.all()
+	fromServer := lostAround(r, d, calls, termAt)
+	r.printf("lost: %d of %d requests of clients, %d of %d calls of the server; one breaks the rule", fromClients, len(seen.list), fromServer, len(calls))
+	return fromClients+fromServer > 0, nil
 }
 
 // lostAround counts the requests that were passed on to a server and whose connection ended without a complete answer. It
@@ -349,7 +364,7 @@
 	if trouble {
 		size = uploadBytes
 	}
-	for i := range 12 {
+	for i := range 40 {
 		q := request{id: fmt.Sprintf("plate-%d", i), method: http.MethodPost, path: fmt.Sprintf("/early/%d", i), budget: 5 * time.Second, body: countingBody(size), chunked: i%2 == 0}
 		r.printf("send %s, %d bytes, in chunks %t", q.id, size, q.chunked)
 		r.printf("%s", once(entrance, q).describe())
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -57,7 +57,7 @@
 	go func() { sent <- c.send(r) }()
 	defer func() {
 		_ = c.SetWriteDeadline(time.Now())
-		<-sent
+		_ = <-sent
 	}()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
 	if err != nil {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -31,6 +31,8 @@
 	sequence int
 	runs     []run
 	uploads  []upload
+	// calls collects the calls that the server makes while it runs a request of the route "chain".
+	calls results
 }
 
 // run is one request that the server began to run.
@@ -41,7 +43,7 @@
 
 func startServer(m *machine) (*server, error) {
 	now := time.Now()
-	s := &server{machine: m, id: fmt.Sprintf("i-%x", now.UnixNano()&0xffffffff), born: now.UnixMilli()}
+	s := &server{machine: m, calls: results{record: m.fleet.record}, id: fmt.Sprintf("i-%x", now.UnixNano()&0xffffffff), born: now.UnixMilli()}
 	var err error
 	if s.listener, err = net.Listen("tcp", m.address(portServer)); err != nil {
 		return nil, err
@@ -125,6 +127,9 @@
 		return
 	}
 	limit := time.Duration(timeout) * time.Millisecond
+	if strings.HasPrefix(r.URL.Path, "/chain/") {
+		go s.makeCalls(r.Context(), id, min(work, limit))
+	}
 	select {
 	case <-time.After(min(work, limit)):
 	case <-r.Context().Done():
@@ -241,3 +246,16 @@
 	}
 	return len(got), -1, err
 }
+
+// callWork is the path of a call, which runs for 300 ms.
+const callWork = "/record/300/100/"
+
+// makeCalls makes one call after the other through the node beside the server, as long as the request runs.
+func (s *server) makeCalls(ctx context.Context, id string, limit time.Duration) {
+	end := time.Now().Add(limit)
+	for i := 0; ctx.Err() == nil && time.Now().Before(end); i++ {
+		q := request{id: fmt.Sprintf("%s-call-%d", id, i), method: http.MethodPost, path: callWork + strconv.Itoa(i), budget: time.Until(end)}
+		s.machine.fleet.record.printf("the server beside %s sends the call %s", s.machine.name, q.id)
+		s.calls.add(once(s.machine, q))
+	}
+}
