--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -53,11 +53,15 @@
 func (c *connection) exchange(r request) (out result) {
 	out.request, out.sentAt = r, time.Now()
 	_ = c.SetDeadline(out.sentAt.Add(r.budget + time.Second))
-	sent := make(chan error, 1)
-	go func() { sent <- c.send(r) }()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		// A node that answers early may stop reading; the answer decides.
+		_ = c.send(r)
+	}()
 	defer func() {
 		_ = c.SetWriteDeadline(time.Now())
-		_ = <-sent
+		<-sent
 	}()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
 	if err != nil {
