crforward: accept late in a stop only what can be answered before its end

Cause: the inbound server and the entrance were shut down one after the other within one deadline. A long run from another node used it up, the entrance accepted everything until then, and its own shutdown waited for nothing. Change: during a stop no request has a deadline after the cut-off, so its server ends it in time. At the cut-off the requests that still wait are answered. The entrance has 0.3 s of its own for the last answers.

--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -105,8 +105,13 @@
 	// lastCallFailure is when a call made by the backend server last failed, in Unix nanoseconds.
 	lastCallFailure atomic.Int64
 	started         atomic.Bool
-	// stopping makes the node report itself not ready, gateClosed makes the gate refuse new work.
-	stopping, gateClosed atomic.Bool
+	// stopping is set during a graceful stop, in which the node reports itself not ready. gateClosed makes the gate
+	// refuse new work.
+	stopping   atomic.Pointer[stopState]
+	gateClosed atomic.Bool
+	// afterCutOff ends at the cut-off of a stop, which cutOff triggers.
+	afterCutOff context.Context
+	cutOff      context.CancelFunc
 	// inFlight is the number of requests at the entrance.
 	inFlight atomic.Int64
 
@@ -128,6 +133,7 @@
 // Run serves until ctx ends, then finishes the requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare()
+	defer n.cutOff()
 	tasks, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	entrance := n.server(http.HandlerFunc(n.serveEntrance), entranceIdleTimeout)
@@ -154,7 +160,6 @@
 	n.started.Store(true)
 	n.Log.Emit(time.Now(), crevent.State, crevent.Started, crevent.KeyService, n.Settings.Service, crevent.KeyAddress, n.Settings.Address)
 	<-ctx.Done()
-	// Calls that run at the gate may still make calls through the entrance, so the entrance closes last.
 	n.stop(inbound, entrance)
 	cancel()
 	if !cradmin.WaitWithin(taskEndTimeout, n.wg.Wait, n.endpoint.Close) {
@@ -171,6 +176,7 @@
 	if n.Suspended == nil {
 		n.Suspended = crclock.Suspended
 	}
+	n.afterCutOff, n.cutOff = context.WithCancel(context.Background())
 	n.endpoint = &crwire.Endpoint{
 		Identity: crwire.Identity{Self: crwire.Peer{
 			Name: n.Settings.Name, Incarnation: time.Now().UTC().Format("20060102T150405.000000000"), Role: crwire.RoleNode,
@@ -209,7 +215,7 @@
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if n.stopping.Load() || n.table.Load() == nil {
+		if n.stopping.Load() != nil || n.table.Load() == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -39,7 +39,7 @@
 		Services []serviceView   `json:"services"`
 		Routes   []routeView     `json:"routes"`
 		Suspects []suspectView   `json:"suspects"`
-	}{Name: n.Settings.Name, At: now, Control: n.directory.Control(), Stopping: n.stopping.Load(), InFlight: n.inFlight.Load()}
+	}{Name: n.Settings.Name, At: now, Control: n.directory.Control(), Stopping: n.stopping.Load() != nil, InFlight: n.inFlight.Load()}
 	if t := n.table.Load(); t != nil {
 		out.Version = t.Version()
 	}
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -29,7 +29,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	now := time.Now()
-	if n.stopping.Load() {
+	if n.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	table := n.table.Load()
@@ -98,7 +98,11 @@
 	} else {
 		c.rates = n.gate.roots.Rates()
 	}
-	if r := n.admit(now, c, route); r != nil {
+	r := n.admitStopping(now, c)
+	if r == nil {
+		r = n.admit(now, c, route)
+	}
+	if r != nil {
 		n.abandonBody(w, c)
 		n.reject(w, c, r, n.retryAfter(now, c, r))
 		return
@@ -112,7 +116,14 @@
 		// The client closed the connection or sent less than the announced body.
 		panic(http.ErrAbortHandler)
 	}
-	r, attempts := n.placeTracked(req.Context(), c, route)
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	unlink := context.AfterFunc(n.afterCutOff, cancel)
+	defer unlink()
+	r, attempts := n.placeTracked(ctx, c, route)
+	if ctx.Err() != nil && req.Context().Err() == nil && isCancelled(r) {
+		r = cutOffReply(r)
+	}
 	defer r.release()
 	n.logAnswer(c, r, attempts, now)
 	n.Counters.Observe(requestTime+c.service+"/"+r.outcomeName(), time.Since(now))
@@ -122,13 +133,24 @@
 		writeAnswer(w, r)
 		return
 	}
-	if r.code == crcode.Cancelled || r.code == crcode.CancelledRun {
+	if isCancelled(r) {
 		panic(http.ErrAbortHandler)
 	}
 	n.abandonBody(w, c)
 	n.reject(w, c, r, n.retryAfter(time.Now(), c, r))
 }
 
+// admitStopping refuses a call that cannot be answered before the node stops.
+func (n *Node) admitStopping(now time.Time, c *call) *reply {
+	s := n.stopping.Load()
+	if s.limit(now, c, n.services.get(c.service).meanLatency(c.route)) {
+		return nil
+	}
+	return s.stoppingReply(now)
+}
+
+func isCancelled(r *reply) bool { return r.code == crcode.Cancelled || r.code == crcode.CancelledRun }
+
 // abandonBody makes the connection close after an answer that precedes the end of a streamed body. Otherwise the rest
 // of the body would be parsed as the next request.
 func (n *Node) abandonBody(w http.ResponseWriter, c *call) {
@@ -216,7 +238,7 @@
 			return
 		}
 		class = crevent.Routine
-	case r.code == crcode.Cancelled || r.code == crcode.CancelledRun:
+	case isCancelled(r):
 		event = crevent.Cancelled
 	case r.code.Outcome() == crcode.NotRun:
 		event = crevent.Rejected
--- a/internal/crforward/stop.go
+++ b/internal/crforward/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
 // Timings of a graceful stop, as fractions of the time until the process is killed.
@@ -18,28 +19,89 @@
 	// gateCloseLead is how long before the end of that time the gate closes. The directory informs all nodes within a
 	// fifth of a second; until then a refused call costs only one more hop.
 	gateCloseLead = 400 * time.Millisecond
+	// lastAnswersTimeout limits the time after the cut-off in which the entrance writes the answers of requests whose
+	// deadline was the cut-off. It exceeds peerAnswerSlack.
+	lastAnswersTimeout = 300 * time.Millisecond
 	// taskEndTimeout limits the wait for background tasks after the last request.
 	taskEndTimeout = 300 * time.Millisecond
 )
 
+// lateLatencyFactor is how many times its mean latency must be left before the cut-off for the entrance to accept a
+// request late in a stop.
+const lateLatencyFactor = 4
+
+// stopPhase is a phase of a graceful stop.
+type stopPhase uint8
+
+const (
+	// stopGrace accepts all requests, because clients have not noticed the stop yet.
+	stopGrace stopPhase = iota
+	// stopFinishing accepts only requests that can be answered before the cut-off.
+	stopFinishing
+)
+
+// stopState is the state of a graceful stop; cutOff is when requests that still run are cut off.
+type stopState struct {
+	phase  stopPhase
+	cutOff time.Time
+}
+
+// limit shortens the deadline of a call to the cut-off, so that its server ends it in time, and reports whether the
+// call may start. usual is the mean latency of its route, zero if unknown. A nil state is that of a node that runs.
+func (s *stopState) limit(now time.Time, c *call, usual time.Duration) bool {
+	if s == nil || !c.deadline.After(s.cutOff) {
+		return true
+	}
+	c.deadline = s.cutOff
+	if c.due.After(s.cutOff) {
+		c.due = s.cutOff
+	}
+	return s.phase == stopGrace || usual > 0 && s.cutOff.Sub(now) >= lateLatencyFactor*usual
+}
+
+// stoppingReply refuses a request that cannot be answered before the node stops. A client of this instance finds no
+// node before the process has ended.
+func (s *stopState) stoppingReply(now time.Time) *reply {
+	r := failureReply(crcode.Stopping, "")
+	r.retryAfter = s.cutOff.Add(lastAnswersTimeout).Sub(now)
+	return r
+}
+
 // stop shuts the node down gracefully. The node reports at once that it is not ready, but accepts requests of clients
 // that have not noticed yet. Its gate stays open nearly as long, because the server beside it keeps running. Then
-// connections close as their requests finish.
-func (n *Node) stop(servers ...*http.Server) {
+// connections close as their requests finish. The inbound server closes before the entrance, because calls that run at
+// the gate may still make calls through the entrance. The entrance has a time of its own for that, and accepts nothing
+// in the meantime that it could not answer.
+func (n *Node) stop(inbound, entrance *http.Server) {
 	now := time.Now()
-	end := now.Add(time.Duration(float64(n.Settings.StopTimeout) * cutOffPart))
+	cutOff := now.Add(time.Duration(float64(n.Settings.StopTimeout) * cutOffPart))
 	notReadyTime := time.Duration(float64(n.Settings.StopTimeout) * notReadyPart)
-	n.stopping.Store(true)
+	n.stopping.Store(&stopState{phase: stopGrace, cutOff: cutOff})
 	n.Log.Emit(now, crevent.State, crevent.Stopping, crevent.KeyCount, n.inFlight.Load(), crevent.KeyLeft, n.Settings.StopTimeout)
 	time.Sleep(notReadyTime - min(gateCloseLead, notReadyTime))
 	n.gateClosed.Store(true)
 	n.announce()
 	time.Sleep(min(gateCloseLead, notReadyTime))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	n.stopping.Store(&stopState{phase: stopFinishing, cutOff: cutOff})
+	timer := time.AfterFunc(time.Until(cutOff), n.cutOff)
+	defer timer.Stop()
+	n.shutdown(inbound, "inbound", cutOff)
+	n.shutdown(entrance, "entrance", cutOff.Add(lastAnswersTimeout))
+}
+
+// shutdown closes a server as its requests finish, until the deadline.
+func (n *Node) shutdown(s *http.Server, name string, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			n.Log.Emit(time.Now(), crevent.State, crevent.Cut, crevent.KeyCount, n.inFlight.Load(), crevent.KeyError, err)
-		}
+	if err := s.Shutdown(ctx); err != nil {
+		n.Log.Emit(time.Now(), crevent.State, crevent.Cut, crevent.KeyCount, n.inFlight.Load(), crevent.KeyDetail, name, crevent.KeyError, err)
+	}
+}
+
+// cutOffReply returns the reply to a call that was cancelled by the cut-off of a stop.
+func cutOffReply(r *reply) *reply {
+	if r.code == crcode.Cancelled {
+		return failureReply(crcode.Stopping, "")
 	}
+	return failureReply(crcode.AnswerLost, "cut off by a stop")
 }
--- /dev/null
+++ b/internal/crforward/stop_test.go
@@ -0,0 +1,167 @@
+package crforward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/citronramp/citronramp/internal/crforward"
+	"github.com/citronramp/citronramp/pkg/crroute"
+)
+
+// lateRequest is what a client of a stopping node saw of one request.
+type lateRequest struct {
+	sent   time.Duration
+	status int
+	retry  string
+	err    error
+}
+
+// errProcessEnded is the error of a request that was not answered when its node had ended. In a test the connections
+// of an ended node stay open.
+var errProcessEnded = errors.New("the node ended before its answer")
+
+// deliverySlack is how late an answer may arrive that the node wrote before it ended.
+const deliverySlack = 100 * time.Millisecond
+
+// sendUntilEnd sends non-repeatable requests, each on a connection of its own, until the node has ended.
+func sendUntilEnd(n *node, path string, pause time.Duration) map[string]lateRequest {
+	out, start := map[string]lateRequest{}, time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := 0; ; i++ {
+		select {
+		case <-n.done:
+			wg.Wait()
+			return out
+		case <-time.After(pause):
+		}
+		wg.Go(func() {
+			id, sent := fmt.Sprintf("late-%d", i), time.Since(start)
+			r := n.sendOnce(path, id)
+			r.sent = sent
+			mu.Lock()
+			defer mu.Unlock()
+			out[id] = r
+		})
+	}
+}
+
+// sendOnce sends a request on a connection of its own, which ends with the node.
+func (n *node) sendOnce(path, id string) (r lateRequest) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-n.done:
+			time.Sleep(deliverySlack)
+			cancel(errProcessEnded)
+		case <-ctx.Done():
+		}
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entrance+path, nil)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	req.Host = "app.example"
+	req.Header.Set(headerNames.RequestID, id)
+	req.Header.Set(headerNames.Timeout, "5000")
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.status, r.retry = resp.StatusCode, resp.Header.Get(headerNames.RetryAfter)
+	_, err = io.Copy(io.Discard, resp.Body)
+	r.err = errors.Join(err, resp.Body.Close())
+	return r
+}
+
+// TestPlannedStopLongRun guards against requests that are accepted late in a graceful stop, passed on and then cut: a
+// long run from another node keeps the inbound server open until the cut-off.
+func TestPlannedStopLongRun(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	stopped, to, other := c.addNode("ledger"), c.addNode("photos"), c.addNode("books")
+	long, short := newRoute("/l/", "ledger", crroute.Repeatable), newRoute("/p/", "photos", crroute.Once)
+	long.Timeout, short.Timeout = 5*time.Second, 5*time.Second
+	c.putRoutes(3, 0, long, short)
+	other.waitForStatus(t, "/l/warm", http.StatusOK)
+	const runTime = 300 * time.Millisecond
+	var ran sync.Map
+	to.backend.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get(headerNames.RequestID), true)
+		time.Sleep(runTime)
+		_, _ = io.WriteString(w, "done")
+	})
+	stopped.warmUp(t, "POST", "/p/warm", to)
+	stopped.backend.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(4 * time.Second):
+		}
+	})
+	var longRun sync.WaitGroup
+	longRun.Go(func() {
+		_, _, _ = other.send(context.Background(), "GET", "/l/long", "long", nil)
+	})
+	eventually(t, func() bool { return stopped.backend.runs.Load() > 1 })
+	stopped.cancel()
+	served, refused := 0, 0
+	for id, r := range sendUntilEnd(stopped, "/p/x", 20*time.Millisecond) {
+		_, didRun := ran.Load(id)
+		switch {
+		case r.err != nil:
+			qt.Check(t, didRun, qt.IsFalse, qt.Commentf("%s was sent %s after the stop began and cut: %v", id, r.sent, r.err))
+		case r.status == http.StatusOK:
+			served++
+		default:
+			qt.Check(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, r.retry, qt.Not(qt.Equals), "")
+			qt.Check(t, didRun, qt.IsFalse, qt.Commentf("%s was refused and ran", id))
+			refused++
+		}
+	}
+	longRun.Wait()
+	t.Logf("%d served, %d refused", served, refused)
+	qt.Assert(t, served > 0 && refused > 0, qt.IsTrue)
+}
+
+// TestPlannedStopQueued guards against a connection that is closed without an answer at the end of a graceful stop while
+// its request waits in the queue of another node.
+func TestPlannedStopQueued(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	stopped, to := c.addNode("ledger"), c.addNode("photos")
+	route := newRoute("/p/", "photos", crroute.Once)
+	route.Timeout = 8 * time.Second
+	c.putRoutes(3, 0, route)
+	stopped.waitForStatus(t, "/p/warm", http.StatusOK)
+	to.sequence++
+	qt.Assert(t, to.Register(time.Now(), crforward.Report{
+		ID: to.backend.id, Service: "photos", Address: to.Settings.ServerAddress, Born: to.serverStart, Sequence: to.sequence, Slots: 1,
+	}), qt.IsNil)
+	to.backend.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(6 * time.Second):
+		}
+	})
+	errs := make(chan error, 3)
+	for i := range 3 {
+		go func() { errs <- stopped.sendOnce("/p/x", fmt.Sprintf("queued-%d", i)).err }()
+	}
+	time.Sleep(200 * time.Millisecond)
+	stopped.cancel()
+	for range 3 {
+		qt.Check(t, <-errs, qt.IsNil)
+	}
+}
