crforward, crcoord: acknowledge a leave only when it is durable

Cause: the leave was acknowledged when it stood in the memory of the node and in the queue of its directory client. Coordinators wrote it to disk once a second. A kill before that left nobody who knew of it. Change: the node waits until ToleratedFailures + 1 coordinators have the leave on disk (notice.store, notice.replicate); leaves that come together share a write. Otherwise the answer is 503 (516 not_stored), with the gate closed all the same. This holds for each acknowledgement of a draining report. Each node has a name of its own in the directory, since 256 leaves of one service pushed the oldest out.

--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -56,6 +56,7 @@
 	machine        *crdocument.Machine
 	packCache      crdocument.PackCache
 	hints          hints
+	notices        *softStateFile
 	replica        *crreplica.Replica
 	directory      *crdirectory.Server
 	peers          peers
@@ -132,6 +133,7 @@
 	c.register()
 	c.gauges()
 	c.loadHints()
+	c.notices = c.noticesFile()
 	c.loadNotices()
 	return nil
 }
@@ -154,7 +156,7 @@
 			c.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, pause, crevent.KeyTerm, c.replica.Status().Term)
 		})
 	})
-	c.wg.Go(func() { c.noticesFile().loop(ctx) })
+	c.wg.Go(func() { c.notices.loop(ctx) })
 	c.wg.Go(func() { c.logUnexpectedEnd("api", cradmin.Serve(ctx, c.API, c.Handler)) })
 	if c.Admin != nil {
 		c.wg.Go(func() {
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -41,6 +41,12 @@
 	mux := c.endpoint.Mux
 	crwire.Handle(mux, MethodHello, c.handleHello)
 	crwire.Handle(mux, MethodHints, c.handleHints)
+	crwire.Handle(mux, MethodStoreNotice, func(ctx context.Context, _ *crwire.Session, n *crwire.DirectoryNotice) (*crwire.DirectoryEmpty, error) {
+		return &crwire.DirectoryEmpty{}, c.storeNotice(ctx, n)
+	})
+	crwire.Handle(mux, methodReplicateNotice, func(ctx context.Context, _ *crwire.Session, n *crwire.DirectoryNotice) (*crwire.DirectoryEmpty, error) {
+		return &crwire.DirectoryEmpty{}, c.saveNotice(ctx, n)
+	})
 	crwire.Handle(mux, methodPut, func(ctx context.Context, _ *crwire.Session, p *crwire.DocumentPut) (*crwire.DocumentVerdict, error) {
 		return c.propose(ctx, p.GetDocument())
 	})
--- a/internal/crcoord/notices.go
+++ b/internal/crcoord/notices.go
@@ -1,6 +1,8 @@
 package crcoord
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,26 +15,80 @@
 	// noticesFile is the name of the file that stores the directory's notices, so that quarantined requests stay
 	// blocked when nodes and coordinators restart together.
 	noticesFile = "notices"
-	// noticeInterval is the minimum time between two writes of the file. A notice of a crashing request may take
-	// three seconds to reach all processes.
+	// noticeInterval is the time between two writes of the file, unless a notice must be durable at once. A notice of
+	// a crashing request may take three seconds to reach all processes.
 	noticeInterval = time.Second
+	// storeNoticeTimeout bounds the storage of a notice at enough coordinators. A node that waits for it must answer
+	// its server within a second.
+	storeNoticeTimeout = 700 * time.Millisecond
 )
 
+// RPC methods for notices that must survive the loss of processes and disks. Nodes call MethodStoreNotice.
+const (
+	MethodStoreNotice     = "notice.store"
+	methodReplicateNotice = "notice.replicate"
+)
+
+// noticesFile returns the file of the notices. Its first write covers what was loaded, since the rename that made it
+// visible may not be durable yet.
 func (c *Coordinator) noticesFile() *softStateFile {
-	last := c.directory.NoticesAccepted()
-	return &softStateFile{coordinator: c, name: noticesFile, interval: noticeInterval, encode: func() ([]byte, error) {
+	written, last := false, uint64(0)
+	encode := func() ([]byte, error) {
 		accepted := c.directory.NoticesAccepted()
-		if accepted == last {
+		if !c.directory.Running() || written && accepted == last {
 			return nil, nil
 		}
-		last = accepted
+		written, last = true, accepted
 		return encodeNotices(time.Now(), c.directory.Notices())
-	}}
+	}
+	return &softStateFile{coordinator: c, name: noticesFile, interval: noticeInterval, encode: encode, requests: make(chan chan<- error)}
+}
+
+// storeNotice stores a notice here and at other coordinators. It returns nil once it is on the disks of one more
+// coordinator than may be lost at the same time. The others receive it as well.
+func (c *Coordinator) storeNotice(ctx context.Context, n *crwire.DirectoryNotice) error {
+	ctx, cancel := context.WithTimeout(ctx, storeNoticeTimeout)
+	defer cancel()
+	peers := c.peers.storing()
+	results := make(chan error, len(peers)+1)
+	go func() { results <- c.saveNotice(ctx, n) }()
+	for _, a := range peers {
+		go func() { results <- c.replicateNotice(ctx, a, n) }()
+	}
+	missing := c.Settings.ToleratedFailures + 1
+	var errs []error
+	for range len(peers) + 1 {
+		if err := <-results; err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if missing--; missing == 0 {
+			return nil
+		}
+	}
+	return crcode.New(crcode.NotStored, "%d more coordinators are needed: %v", missing, errors.Join(errs...))
+}
+
+func (c *Coordinator) replicateNotice(ctx context.Context, address string, n *crwire.DirectoryNotice) error {
+	s, err := c.endpoint.Session(ctx, address)
+	if err != nil {
+		return err
+	}
+	_, err = crwire.Call[crwire.DirectoryEmpty](ctx, s, methodReplicateNotice, n)
+	return err
+}
+
+// saveNotice stores a notice at this coordinator only.
+func (c *Coordinator) saveNotice(ctx context.Context, n *crwire.DirectoryNotice) error {
+	if err := c.directory.StoreNotice(proto.Clone(n).(*crwire.DirectoryNotice)); err != nil {
+		return err
+	}
+	return c.notices.persist(ctx)
 }
 
 // loadNotices passes the saved notices to the directory. Call it before the directory runs.
 func (c *Coordinator) loadNotices() {
-	saved, err := decodeNotices(time.Now(), c.noticesFile().load())
+	saved, err := decodeNotices(time.Now(), c.notices.load())
 	if err != nil {
 		c.recordFileError(noticesFile, err)
 	}
--- a/internal/crcoord/notices_test.go
+++ b/internal/crcoord/notices_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -12,8 +14,10 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/citronramp/citronramp/internal/crcoord"
 	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/crcode"
 )
 
 // watcher is a directory client as a node has it. It records the notices that it received and the time to live of
@@ -90,3 +94,48 @@
 	qt.Assert(t, os.WriteFile(name, []byte("junk"), 0o600), qt.IsNil)
 	c.start(at[1], "1", false)
 }
+
+// savedNotices returns the notices on the disk of a coordinator.
+func (c *core) savedNotices(disk string) []*crwire.DirectoryNotice {
+	c.t.Helper()
+	raw, err := os.ReadFile(filepath.Join(c.dir, disk, "notices"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	qt.Assert(c.t, err, qt.IsNil)
+	var saved crwire.SavedNotices
+	qt.Assert(c.t, proto.Unmarshal(raw, &saved), qt.IsNil)
+	return saved.GetNotices()
+}
+
+// TestStoredNotices guards against a notice that is acknowledged as stored while a loss of as many disks as the
+// deployment tolerates would lose it.
+func TestStoredNotices(t *testing.T) {
+	c, at := newCore(t, 3)
+	c.startAll(at)
+	store := func(version uint64) error {
+		_, err := crwire.Call[crwire.DirectoryEmpty](t.Context(), session(t, at[0]), crcoord.MethodStoreNotice,
+			&crwire.DirectoryNotice{Service: "left/n1", Key: "left/n1/s1", Version: version, ExpiresInMs: time.Minute.Milliseconds()})
+		return err
+	}
+	copies := func(version uint64) (n int) {
+		for i := range at {
+			for _, saved := range c.savedNotices(strconv.Itoa(i)) {
+				if saved.GetVersion() >= version {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	eventually(t, func() bool { return store(1) == nil })
+	qt.Assert(t, copies(1) >= 2, qt.IsTrue)
+	for version := range uint64(20) {
+		qt.Assert(t, store(2+version), qt.IsNil)
+		qt.Assert(t, copies(2+version) >= 2, qt.IsTrue)
+	}
+	// One coordinator suffices for nothing.
+	c.stop(at[1])
+	c.stop(at[2])
+	qt.Assert(t, crcode.Of(store(100)), qt.Equals, crcode.NotStored)
+}
--- a/internal/crcoord/presence.go
+++ b/internal/crcoord/presence.go
@@ -122,6 +122,18 @@
 	return out, domains
 }
 
+// storing returns the addresses of the coordinators that have reported a member id and no storage error.
+func (p *peers) storing() (out []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, e := range p.known {
+		if e.id != 0 && !e.failing {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // seenWithin returns the addresses whose last message is at most within old.
 func (p *peers) seenWithin(now time.Time, within time.Duration) []string {
 	p.mu.Lock()
--- a/internal/crcoord/sidefile.go
+++ b/internal/crcoord/sidefile.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
-	"github.com/citronramp/citronramp/internal/crpause"
+	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crstore"
 )
 
@@ -23,6 +23,8 @@
 	encode func() ([]byte, error)
 	// pending is the content of the last write that failed.
 	pending []byte
+	// requests receives a channel for each caller of persist.
+	requests chan chan<- error
 }
 
 func (f *softStateFile) path() string { return filepath.Join(f.coordinator.Settings.DataDir, f.name) }
@@ -36,15 +38,59 @@
 	return raw
 }
 
-// loop saves changes until ctx ends, and then once more.
+// persist returns when the state at the time of the call is on disk. Callers at the same time share a write. The loop
+// must run.
+func (f *softStateFile) persist(ctx context.Context) error {
+	done := make(chan error, 1)
+	select {
+	case f.requests <- done:
+	case <-ctx.Done():
+		return notStoredError(ctx.Err())
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return notStoredError(ctx.Err())
+	}
+}
+
+func notStoredError(err error) error { return crcode.New(crcode.NotStored, "%v", err) }
+
+// loop saves changes, at intervals and for callers of persist, until ctx ends, and then once more.
 func (f *softStateFile) loop(ctx context.Context) {
-	for crpause.For(ctx, f.interval) == nil {
-		f.save()
+	tick := time.NewTicker(f.interval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		var waiting []chan<- error
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case done := <-f.requests:
+			waiting = append(f.queuedRequests(), done)
+		}
+		// save reports the error, and the next tick tries again.
+		err := f.save()
+		for _, done := range waiting {
+			done <- err
+		}
+	}
+}
+
+// queuedRequests returns the callers of persist that wait already.
+func (f *softStateFile) queuedRequests() (out []chan<- error) {
+	for {
+		select {
+		case done := <-f.requests:
+			out = append(out, done)
+		default:
+			return out
+		}
 	}
-	f.save()
 }
 
-func (f *softStateFile) save() {
+// save writes the state unless the file has it, and returns the error of the write.
+func (f *softStateFile) save() error {
 	raw, err := f.encode()
 	if raw == nil {
 		raw = f.pending
@@ -57,6 +103,7 @@
 		f.pending = raw
 		f.coordinator.recordFileError(f.name, err)
 	}
+	return err
 }
 
 // recordFileError counts and logs an error of a soft state file.
--- a/internal/crdirectory/server.go
+++ b/internal/crdirectory/server.go
@@ -249,6 +249,19 @@
 	}
 }
 
+// Running reports whether the directory has its initial notices and accepts messages.
+func (s *Server) Running() bool { return s.running.Load() }
+
+// StoreNotice stores a notice in memory and sends it to the peers and watchers. It returns an error if the notice is
+// invalid or the directory does not run.
+func (s *Server) StoreNotice(n *crwire.DirectoryNotice) error {
+	_, err := withCore(s, func(now time.Time, c *Core) (struct{}, []Output, error) {
+		outs, err := c.Publish(now, n)
+		return struct{}{}, outs, err
+	})
+	return err
+}
+
 // Members returns all entries, sorted by node name, and whether the directory is settled, so that a missing server is
 // known to be gone. The entries must not be modified.
 func (s *Server) Members() (entries []*crwire.DirectoryEntry, settled bool) {
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -194,6 +194,7 @@
 	n.gate = newGate(n)
 	n.coordinators.configure(n.Settings.Seeds)
 	n.declareMetrics()
+	n.directory.Watch(nil, []string{n.departureTopic()})
 	n.announce()
 }
 
--- a/internal/crforward/documents.go
+++ b/internal/crforward/documents.go
@@ -73,7 +73,7 @@
 	}
 	n.table.Store(t)
 	n.documents.setCurrent(d)
-	n.directory.Watch(t.Services(), t.Services())
+	n.directory.Watch(t.Services(), append(t.Services(), n.departureTopic()))
 	n.Log.Emit(time.Now(), crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, confirmed)
 }
 
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -105,6 +105,18 @@
 	return address == c.primary
 }
 
+// linked returns the addresses that the two links use.
+func (c *coordinators) linked() (out []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range []string{c.primary, c.secondary} {
+		if a != "" && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // configure replaces the coordinators from the settings.
 func (c *coordinators) configure(addresses []string) {
 	c.mu.Lock()
--- a/internal/crforward/forged_test.go
+++ b/internal/crforward/forged_test.go
@@ -29,8 +29,10 @@
 		"id of bytes":  func(r *crforward.Report) { r.ID = "a\r\nX-Caller: other" },
 	} {
 		for leaving, leave := range map[string]func(n *node) error{
-			"draining":     func(n *node) error { return n.report(true) },
-			"deregistered": func(n *node) error { return n.Deregister(time.Now(), n.backend.id, n.serverStart) },
+			"draining": func(n *node) error { return n.report(true) },
+			"deregistered": func(n *node) error {
+				return n.Deregister(context.Background(), time.Now(), n.backend.id, n.serverStart)
+			},
 		} {
 			t.Run(name+"/"+leaving, func(t *testing.T) {
 				t.Parallel()
@@ -42,7 +44,7 @@
 					ID: one.backend.id, Service: "photos", Address: one.Settings.ServerAddress, Born: one.serverStart, Sequence: one.sequence + 1, Slots: 20,
 				}
 				forge(&forged)
-				forgedErr := one.Register(time.Now(), forged)
+				forgedErr := one.Register(context.Background(), time.Now(), forged)
 				qt.Assert(t, one.report(false) == nil || forgedErr == nil, qt.IsTrue)
 				err := leave(one)
 				if err != nil {
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -87,9 +87,10 @@
 
 // cluster consists of one coordinator and several nodes.
 type cluster struct {
-	t     testing.TB
-	coord *crcoord.Coordinator
-	seed  string
+	t         testing.TB
+	coord     *crcoord.Coordinator
+	stopCoord func()
+	seed      string
 	// moreSeeds are further coordinator addresses.
 	moreSeeds []string
 	// server is the server address of added nodes; if empty, each node gets a server of its own.
@@ -117,6 +118,10 @@
 			t.Errorf("coordinator: %v", err)
 		}
 	}()
+	c.stopCoord = func() {
+		cancel()
+		<-done
+	}
 	t.Cleanup(func() {
 		for _, n := range c.nodes {
 			n.cancel()
@@ -124,8 +129,7 @@
 		for _, n := range c.nodes {
 			n.stop()
 		}
-		cancel()
-		<-done
+		c.stopCoord()
 	})
 	eventually(t, c.coord.Started)
 	return c
@@ -215,7 +219,7 @@
 
 func (n *node) report(draining bool) error {
 	n.sequence++
-	return n.Register(time.Now(), crforward.Report{
+	return n.Register(context.Background(), time.Now(), crforward.Report{
 		ID: n.backend.id, Service: n.Settings.Service, Address: n.Settings.ServerAddress, Born: n.serverStart, Sequence: n.sequence, Slots: 20,
 		Draining: draining,
 	})
--- a/internal/crforward/registration.go
+++ b/internal/crforward/registration.go
@@ -1,6 +1,7 @@
 package crforward
 
 import (
+	"context"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
@@ -151,8 +152,9 @@
 }
 
 // Register processes a report of the backend server on this instance. A nil result acknowledges the report, which
-// guarantees that a draining server gets no further request, because all requests pass this gate.
-func (n *Node) Register(now time.Time, r Report) error {
+// guarantees that a draining server gets no further request: all requests pass this gate, and the departure is stored
+// for a restart of this process. An error with the code NotStored leaves the gate closed.
+func (n *Node) Register(ctx context.Context, now time.Time, r Report) error {
 	if err := r.validate(now); err != nil {
 		return err
 	}
@@ -165,17 +167,19 @@
 		n.Log.Emit(now, crevent.State, crevent.ServerJoined, crevent.KeyServer, r.ID, crevent.KeySlots, r.Slots, crevent.KeyAge, r.Cold, crevent.KeyOutcome, r.Draining)
 	case reportDrains:
 		n.Log.Emit(now, crevent.State, crevent.ServerDraining, crevent.KeyServer, r.ID)
-		n.recordDeparture(r.ID, r.Born)
 	case reportStale:
 		n.Counters.Add("reports_stale", 1)
-		return nil
 	case reportRefused:
 		n.Counters.Add("reports_refused", 1)
 		return earlierLifetimeError(r.ID)
 	case reportRenewed:
-		return nil
 	}
-	n.announce()
+	if verdict == reportJoined || verdict == reportDrains {
+		n.announce()
+	}
+	if r.Draining {
+		return n.storeDeparture(ctx, r.ID, r.Born)
+	}
 	return nil
 }
 
@@ -185,12 +189,14 @@
 }
 
 // Deregister processes the announcement of a server that it leaves; the server may finish what it runs. An
-// announcement of an earlier lifetime is rejected, because the gate stays open.
-func (n *Node) Deregister(now time.Time, id string, born time.Time) error {
+// announcement of an earlier lifetime is rejected, because the gate stays open. The result is as that of Register.
+func (n *Node) Deregister(ctx context.Context, now time.Time, id string, born time.Time) error {
 	if err := validateStart(now, born); err != nil {
 		return err
 	}
-	n.recordDeparture(id, born)
+	if born.UnixMilli() > 0 {
+		n.departures.add(id, born, false)
+	}
 	switch n.gate.markDraining(id, born) {
 	case leaveRefused:
 		n.Counters.Add("reports_refused", 1)
@@ -200,5 +206,5 @@
 		n.announce()
 	case leaveNoChange:
 	}
-	return nil
+	return n.storeDeparture(ctx, id, born)
 }
--- a/internal/crforward/stop_test.go
+++ b/internal/crforward/stop_test.go
@@ -146,7 +146,7 @@
 	c.putRoutes(3, 0, route)
 	stopped.waitForStatus(t, "/p/warm", http.StatusOK)
 	to.sequence++
-	qt.Assert(t, to.Register(time.Now(), crforward.Report{
+	qt.Assert(t, to.Register(context.Background(), time.Now(), crforward.Report{
 		ID: to.backend.id, Service: "photos", Address: to.Settings.ServerAddress, Born: to.serverStart, Sequence: to.sequence, Slots: 1,
 	}), qt.IsNil)
 	to.backend.setHandler(func(_ http.ResponseWriter, r *http.Request) {
--- a/pkg/crcode/table.go
+++ b/pkg/crcode/table.go
@@ -86,6 +86,7 @@
 	SyncFailed       Code = 513
 	StoreLocked      Code = 514
 	Overflow         Code = 515
+	NotStored        Code = 516
 	Internal         Code = 599
 )
 
@@ -165,6 +166,7 @@
 	{SyncFailed, "sync_failed", NotRun, http.StatusInternalServerError, "The disk failed to store data. Replace this control instance; see docs/operators.md."},
 	{StoreLocked, "store_locked", NotRun, http.StatusInternalServerError, "Another process uses the data folder. Stop it first."},
 	{Overflow, "overflow", NotRun, http.StatusServiceUnavailable, "A bounded queue is full. Try again later."},
+	{NotStored, "not_stored", Unknown, http.StatusServiceUnavailable, "Too few coordinators have stored the message. Send it again."},
 	{Internal, "internal", Unknown, http.StatusInternalServerError, "An unexpected error. Report it with the state dump."},
 	{SettingsUnreadable, "settings_unreadable", NotRun, http.StatusBadRequest, "The settings file cannot be read or is not TOML."},
 	{SettingsUnknownKey, "settings_unknown_key", NotRun, http.StatusBadRequest, "The settings file has a key that does not exist. Remove it."},
