crstore: sync what a start has read before it is used

Callers would see: an acknowledged change that is gone, or a coordinator that does not start again, after a loss of power that follows a kill. Cause: load took the content of the segment for durable. A process that was killed between a write and its sync left that record in the page cache only; the next process acknowledged it. A loss of power during the next append could also keep the new record and tear the old one, which readSegment refuses for good. Change: load syncs the segment and the folder before it returns. Measured: TestLossOfPowerAfterKill, TestLossOfPower and TestStopAtEveryOperation pass.

--- a/pkg/crstore/load.go
+++ b/pkg/crstore/load.go
@@ -54,14 +54,26 @@
 		if err := s.segmentFile.Truncate(seg.validBytes); err != nil {
 			return crlog.State{}, storageError(err)
 		}
-		if err := s.segmentFile.Sync(); err != nil {
-			return crlog.State{}, syncError(err)
-		}
+	}
+	if err := s.syncLoaded(); err != nil {
+		return crlog.State{}, err
 	}
 	s.removeOldFiles(snap.Index)
 	return st, nil
 }
 
+// syncLoaded makes what was read durable. A process that was killed between a write and its sync leaves content, and names
+// of files, that a loss of power would still take away.
+func (s *Store) syncLoaded() error {
+	if err := s.segmentFile.Sync(); err != nil {
+		return syncError(err)
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return syncError(err)
+	}
+	return nil
+}
+
 // latest returns the highest number in the names of the files with a prefix.
 func latest(names []string, prefix string) (uint64, bool) {
 	var highest uint64
--- a/pkg/crstore/power_test.go
+++ b/pkg/crstore/power_test.go
@@ -240,3 +240,39 @@
 		}
 	}
 }
+
+// TestLossOfPowerAfterKill guards against entries that a restarted process has read, and may have acknowledged, and that
+// a later loss of power takes away: the process was killed before it had synced them. It also guards against a folder
+// that the loss of power makes unusable.
+func TestLossOfPowerAfterKill(t *testing.T) {
+	for k := 0; ; k++ {
+		killed := newDisk(k)
+		s, _, err := Open(killed, "d", "a", newTestID, nil)
+		if err == nil {
+			_, err = workload(s)
+		}
+		if err == nil {
+			qt.Assert(t, k > 40, qt.IsTrue)
+			return
+		}
+		// The system keeps what the process wrote.
+		killed.remainingOps = 1 << 30
+		s, st, openErr := Open(killed, "d", "a", newTestID, nil)
+		step := qt.Commentf("operation %d", k)
+		qt.Assert(t, openErr, qt.IsNil, step)
+		for seed := range uint64(40) {
+			_, after, openErr := Open(killed.afterPowerLoss(rand.New(rand.NewPCG(uint64(k), seed))), "d", "a", newTestID, nil)
+			qt.Assert(t, openErr, qt.IsNil, step)
+			qt.Assert(t, after.Hard, qt.Equals, st.Hard, step)
+			qt.Assert(t, lastIndex(after) >= lastIndex(st), qt.IsTrue, step)
+		}
+		// The power is lost during the next write.
+		killed.remainingOps = 0
+		qt.Assert(t, s.Append(nil, []crlog.Entry{entry(lastIndex(st)+1, 99)}), qt.IsNotNil, step)
+		for seed := range uint64(40) {
+			_, after, openErr := Open(killed.afterPowerLoss(rand.New(rand.NewPCG(uint64(k), seed))), "d", "a", newTestID, nil)
+			qt.Assert(t, openErr, qt.IsNil, step)
+			qt.Assert(t, lastIndex(after) >= lastIndex(st), qt.IsTrue, step)
+		}
+	}
+}
