crreplica: go on voting once the disk has room again

Cause: the first write that failed stopped the member for good. The process neither ended, as docs/platform.md said, nor could be added again, so each full disk cost a voter until no majority was left. Change: the member tries every 0.2 s to store its whole state in new files, and then goes on. What the failed write was to store is in that state, its messages are dropped, and its commands have ended with an unknown outcome. Nothing relies on the file whose write or sync failed. A coordinator without storage passes changes on to the leader. Its loss and return are logged. failingSyncFS of TestFailedSyncStops now also fails the syncs of new segments, as its comment says; its checks are unchanged. Measured: both tests and TestRecover pass.

--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -107,7 +107,7 @@
 
 func callLeaderOnce[In any, T any, P message[T]](ctx context.Context, c *Coordinator, local func(context.Context, In) (P, error), method string, in In, remote proto.Message) (P, error) {
 	st := c.replica.Status()
-	if st.Role == crlog.Leader {
+	if st.Role == crlog.Leader && st.LastError == nil {
 		return local(ctx, in)
 	}
 	leader := st.LeaderAddress
--- a/internal/crcoord/presence.go
+++ b/internal/crcoord/presence.go
@@ -286,11 +286,12 @@
 // repairInterval is the time between checks of the membership; a repair takes a few of them.
 const repairInterval = 200 * time.Millisecond
 
-// repairLoop logs changes of the leader, and repairs the membership while this coordinator leads.
+// repairLoop logs changes of the leader and of the storage, and repairs the membership while this coordinator leads.
 func (c *Coordinator) repairLoop(ctx context.Context) {
 	tick := time.NewTicker(repairInterval)
 	defer tick.Stop()
 	var leader, term uint64
+	var failing bool
 	for {
 		select {
 		case <-ctx.Done():
@@ -302,6 +303,10 @@
 				c.Log.Emit(now, crevent.State, crevent.LeaderChanged, crevent.KeyMember, leader, crevent.KeyTerm, term,
 					crevent.KeyAddress, s.LeaderAddress, crevent.KeyCount, len(s.Members))
 			}
+			if failing != (s.LastError != nil) {
+				failing = !failing
+				c.logStorage(now, s.LastError)
+			}
 			if s.Leads {
 				c.repair(ctx, now)
 			}
@@ -309,6 +314,16 @@
 	}
 }
 
+// logStorage logs that the storage has failed with an error, or works again when the error is nil.
+func (c *Coordinator) logStorage(now time.Time, err error) {
+	event := crevent.DependencyBack
+	if err != nil {
+		event = crevent.DependencyLost
+		c.Counters.Add("storage_failed", 1)
+	}
+	c.Log.Emit(now, crevent.State, event, crevent.KeyDetail, "storage", crevent.KeyError, err)
+}
+
 // repairTimeout bounds one change of the membership; the next check tries again.
 const repairTimeout = 2 * time.Second
 
--- a/internal/crreplica/crreplica.go
+++ b/internal/crreplica/crreplica.go
@@ -37,6 +37,9 @@
 	// readRetryInterval is the time without an answer after which a read is sent to the leader again. It is multiplied by
 	// the number of attempts, since the link to the leader may be slow.
 	readRetryInterval = 200 * time.Millisecond
+	// storeRetryInterval is the time between attempts to store the whole state after an error of the storage. A disk
+	// may be full for seconds.
+	storeRetryInterval = 200 * time.Millisecond
 	// transferTimeout bounds how long a leader rejects proposals while it waits for a voter that can take over
 	// leadership.
 	transferTimeout = time.Second
@@ -81,7 +84,10 @@
 	status          atomic.Pointer[Status]
 
 	// The fields below, except applyErr, are used by the log goroutine only.
-	failure          error
+	failure error
+	// unstored is the work whose storage failed, and recoverAt is when the storage is tried again.
+	unstored         crlog.Ready
+	recoverAt        time.Time
 	pendingReads     map[uint64]*command
 	lastReadID       uint64
 	readTerm         uint64
@@ -122,7 +128,8 @@
 }
 
 // Run runs the member until ctx ends or Stop is called. It returns the error of the storage or the state machine that
-// stopped the member, if any.
+// the member had at its end, if any. An error of the storage stops the member from voting and acknowledging until it can
+// store its whole state again.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
 	defer r.cancel()
--- a/internal/crreplica/crreplica_test.go
+++ b/internal/crreplica/crreplica_test.go
@@ -93,6 +93,11 @@
 	fs *failingSyncFS
 }
 
+func (f *failingSyncFS) Create(name string) (crstore.File, error) {
+	file, err := f.OS.Create(name)
+	return failingSyncFile{file, f}, err
+}
+
 func (f *failingSyncFS) Append(name string) (crstore.File, error) {
 	file, err := f.OS.Append(name)
 	return failingSyncFile{file, f}, err
--- a/internal/crreplica/loop.go
+++ b/internal/crreplica/loop.go
@@ -59,6 +59,9 @@
 	if err := r.applyErr.Load(); err != nil && r.failure == nil {
 		r.fail(*err)
 	}
+	if r.failure != nil && r.recoverable() && !now.Before(r.recoverAt) {
+		r.recoverStore(now)
+	}
 	if r.failure != nil {
 		return
 	}
@@ -76,6 +79,7 @@
 			break
 		}
 		if err := r.storeReady(rd); err != nil {
+			r.unstored = rd
 			r.fail(err)
 			return
 		}
@@ -106,16 +110,7 @@
 				return err
 			}
 		}
-		for !r.applyQueue.Push(applyItem{restore: rd.Snapshot}) {
-			if err := r.applyErr.Load(); err != nil {
-				return *err
-			}
-			if r.runContext.Err() != nil {
-				return nil
-			}
-			time.Sleep(time.Millisecond)
-		}
-		return nil
+		return r.restore(rd.Snapshot)
 	}
 	if r.Store == nil {
 		return nil
@@ -123,6 +118,45 @@
 	return r.Store.Append(rd.Hard, rd.Entries)
 }
 
+// restore passes a snapshot of the leader to the state machine.
+func (r *Replica) restore(s *crlog.Snapshot) error {
+	for !r.applyQueue.Push(applyItem{restore: s}) {
+		if err := r.applyErr.Load(); err != nil {
+			return *err
+		}
+		if r.runContext.Err() != nil {
+			return nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// recoverable reports whether the failure is one of the storage only.
+func (r *Replica) recoverable() bool {
+	return r.Store != nil && r.Store.Err() != nil && r.applyErr.Load() == nil
+}
+
+// recoverStore stores the whole state, including the work whose storage failed, after which the member works again. It
+// drops the messages of that work, as a network may, and the node returns its committed entries again. Commands have
+// failed with an unknown outcome.
+func (r *Replica) recoverStore(now time.Time) {
+	r.recoverAt = now.Add(storeRetryInterval)
+	if err := r.Store.Recover(r.node.State()); err != nil {
+		r.failure = err
+		return
+	}
+	rd := crlog.Ready{Hard: r.unstored.Hard, Snapshot: r.unstored.Snapshot, Entries: r.unstored.Entries}
+	r.failure, r.unstored = nil, crlog.Ready{}
+	if rd.Snapshot != nil {
+		if err := r.restore(rd.Snapshot); err != nil {
+			r.fail(err)
+			return
+		}
+	}
+	r.node.Advance(crclock.Now(), rd)
+}
+
 // saveSnapshot stores a snapshot of the state machine.
 func (r *Replica) saveSnapshot(s snapshotResult) {
 	r.snapshotPending = false
@@ -146,9 +180,11 @@
 	}
 }
 
-// fail permanently stops the member from voting and acknowledging entries; Status still works.
+// fail stops the member from voting and acknowledging entries; Status still works. An error of the storage stops it until
+// the storage works again, any other error for good.
 func (r *Replica) fail(err error) {
 	r.failure = err
+	r.recoverAt = crclock.Now().Add(storeRetryInterval)
 	r.failPending(crcode.New(crcode.CommandUnknown, "storage stopped: %v", err))
 }
 
--- a/pkg/crcode/table.go
+++ b/pkg/crcode/table.go
@@ -162,7 +162,7 @@
 	{ConnectionLost, "connection_lost", Unknown, http.StatusBadGateway, "The connection to the other process broke."},
 	{StoreDamaged, "store_damaged", NotRun, http.StatusInternalServerError, "The data folder is damaged. Keep it and replace this control instance; see docs/operators.md."},
 	{StoreForeign, "store_foreign", NotRun, http.StatusInternalServerError, "The data folder belongs to another instance. Check data_dir in the settings."},
-	{DiskFull, "disk_full", NotRun, http.StatusInternalServerError, "The disk is full. Free space, then start the control instance again."},
+	{DiskFull, "disk_full", NotRun, http.StatusInternalServerError, "The disk is full. Free space; the control instance then goes on by itself."},
 	{SyncFailed, "sync_failed", NotRun, http.StatusInternalServerError, "The disk failed to store data. Replace this control instance; see docs/operators.md."},
 	{StoreLocked, "store_locked", NotRun, http.StatusInternalServerError, "Another process uses the data folder. Stop it first."},
 	{Overflow, "overflow", NotRun, http.StatusServiceUnavailable, "A bounded queue is full. Try again later."},
--- a/pkg/crlog/crlog.go
+++ b/pkg/crlog/crlog.go
@@ -245,6 +245,12 @@
 	return r
 }
 
+// State returns the whole state of the member that is to be stored, whether or not it is.
+func (n *Node) State() State {
+	s := n.log.snapshot
+	return State{Hard: n.hardState, Snapshot: s, Entries: n.log.slice(s.Index+1, n.log.last(), 0)}
+}
+
 // Advance records that the caller has done the work of r.
 func (n *Node) Advance(now time.Time, r Ready) {
 	if r.Hard != nil {
--- a/pkg/crstore/crstore.go
+++ b/pkg/crstore/crstore.go
@@ -182,8 +182,8 @@
 func (s *Store) Size() int64 { return s.segmentSize }
 
 // Append stores the hard state, when set, and entries with one write and one sync. Entries replace all stored entries
-// from the index of the first one on. After an error the store writes nothing more: a sync that succeeds after a failed
-// one does not show that the earlier data is stored.
+// from the index of the first one on. After an error the store writes nothing more until Recover: a sync that succeeds
+// after a failed one does not show that the earlier data is stored.
 func (s *Store) Append(hard *crlog.HardState, entries []crlog.Entry) error {
 	if s.failed != nil {
 		return s.failed
@@ -227,6 +227,20 @@
 	return nil
 }
 
+// Recover makes the store work again after an error. It stores the whole state in new files, so that nothing depends on
+// the writes that failed. After another error it may be called again.
+func (s *Store) Recover(st crlog.State) error {
+	s.failed = nil
+	if st.Snapshot.Index > 0 || len(st.Snapshot.Members) > 0 {
+		return s.SaveSnapshot(st.Snapshot, st.Hard, st.Entries)
+	}
+	if err := s.startSegment(0, st.Hard, st.Entries); err != nil {
+		return s.fail(err)
+	}
+	s.removeOldFiles(0)
+	return nil
+}
+
 // startSegment writes a new segment that starts after the entry at base, and opens it for appending.
 func (s *Store) startSegment(base uint64, hard crlog.HardState, entries []crlog.Entry) error {
 	buf := appendRecord(nil, 0, record{reset: true, base: base})
@@ -235,9 +249,11 @@
 		return err
 	}
 	if s.segmentFile != nil {
+		// The new segment holds all that this one did.
 		if err := s.segmentFile.Close(); err != nil {
-			return storageError(err)
+			s.logf("%s is not closed: %v", s.segmentName, err)
 		}
+		s.segmentFile = nil
 	}
 	s.hardState = hard
 	return s.openSegment(s.segmentNumber+1, int64(len(buf)))
--- a/pkg/crstore/crstore_test.go
+++ b/pkg/crstore/crstore_test.go
@@ -196,6 +196,75 @@
 	c.Assert(s.Close(), qt.IsNil)
 }
 
+// recordingStore stores through a Store and records the whole state that its user holds in memory, as a member does.
+type recordingStore struct {
+	*Store
+	state crlog.State
+}
+
+func (r *recordingStore) append(hard crlog.HardState, e crlog.Entry) error {
+	r.state.Hard = hard
+	r.state.Entries = append(r.state.Entries, e)
+	return r.Append(&hard, []crlog.Entry{e})
+}
+
+func (r *recordingStore) saveSnapshot(snap crlog.Snapshot) error {
+	r.state.Entries = r.state.Entries[snap.Index-r.state.Snapshot.Index:]
+	r.state.Snapshot = snap
+	return r.SaveSnapshot(snap, r.state.Hard, r.state.Entries)
+}
+
+// steps returns the operations of a member in order.
+func (r *recordingStore) steps() (out []func() error) {
+	for i := uint64(1); i <= 12; i++ {
+		out = append(out, func() error { return r.append(crlog.HardState{Term: i, Vote: 7}, entry(i, i)) })
+		if i%5 == 0 {
+			snap := crlog.Snapshot{Index: i - 1, Term: i - 1, Members: crlog.Members{{ID: 7, Address: "a"}}, Data: []byte("state")}
+			out = append(out, func() error { return r.saveSnapshot(snap) })
+		}
+	}
+	return out
+}
+
+// TestRecover guards against a store that is unusable, or that has lost or invented entries, after an error of any file
+// operation and after further errors while it recovers.
+func TestRecover(t *testing.T) {
+	c := qt.New(t)
+	for _, cause := range []error{syscall.ENOSPC, syscall.EIO} {
+		for k, finished := 0, false; !finished; k++ {
+			dir := t.TempDir()
+			fsys := &faultyFS{partial: k%2 == 0}
+			s, _, err := Open(fsys, dir, "a", newTestID, nil)
+			c.Assert(err, qt.IsNil)
+			r := &recordingStore{Store: s}
+			fsys.remaining, fsys.err, finished = k, cause, true
+			for _, step := range r.steps() {
+				if step() == nil {
+					continue
+				}
+				finished = false
+				for failAt := range 3 {
+					fsys.remaining = failAt
+					c.Assert(r.Recover(r.state), qt.IsNotNil)
+					c.Assert(r.Append(nil, []crlog.Entry{entry(99, 99)}), qt.Equals, r.Err())
+				}
+				fsys.err = nil
+				c.Assert(r.Recover(r.state), qt.IsNil, qt.Commentf("operation %d", k))
+			}
+			c.Assert(s.Close(), qt.IsNil)
+			s, st, err := Open(OS{}, dir, "a", newTestID, nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(st.Hard, qt.Equals, r.state.Hard)
+			c.Assert(st.Snapshot, qt.DeepEquals, r.state.Snapshot)
+			c.Assert(st.Entries, qt.DeepEquals, r.state.Entries, qt.Commentf("operation %d", k))
+			c.Assert(s.Close(), qt.IsNil)
+			if finished {
+				c.Assert(k > 30, qt.IsTrue)
+			}
+		}
+	}
+}
+
 // sampleSegment returns a segment of five records and the offset at which each of them ends.
 func sampleSegment() (raw []byte, ends []int) {
 	raw = firstSegment()
