crforward: look for a confirmed coordinator while the link is not confirmed

Cause: the search for a coordinator settles for the best answer 0.1 s after the last was asked, and the node then holds that one for 1.5 s without looking further. A confirmed coordinator that answers more slowly than those without a leader was never chosen. Evidence: TestSlowConfirmedCoordinator: before, the node did not have the new document after 10 s, in four runs of four. Change: while the first link is not confirmed the node asks one further coordinator each 0.2 s, waits for its answer, and moves to the first that is confirmed. Measured: TestSlowConfirmedCoordinator passes (2 s allowed), with the other tests of links, four times.

--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crcoord"
@@ -181,17 +182,28 @@
 // follow maintains a link until ctx ends.
 func (n *Node) follow(ctx context.Context, link coordinatorLink) {
 	lastConfirmed := time.Now()
+	var better *contact
 	for ctx.Err() == nil {
-		acceptAny := time.Since(lastConfirmed) > acceptUnconfirmedAfter
-		c, ok := findCoordinator(ctx, n.coordinators.candidates(time.Now()), func(ctx context.Context, address string) (contact, grade) {
-			return n.hello(ctx, address, link, acceptAny)
-		})
+		var c contact
+		ok := better != nil
+		if ok {
+			c, better = *better, nil
+		} else {
+			acceptAny := time.Since(lastConfirmed) > acceptUnconfirmedAfter
+			c, ok = findCoordinator(ctx, n.coordinators.candidates(time.Now()), func(ctx context.Context, address string) (contact, grade) {
+				return n.hello(ctx, address, link, acceptAny)
+			})
+		}
 		if ok && n.coordinators.claim(c.address, link) {
-			if n.followCoordinator(ctx, c, link, lastConfirmed) {
+			var confirmed bool
+			if confirmed, better = n.followCoordinator(ctx, c, link, lastConfirmed); confirmed {
 				lastConfirmed = time.Now()
 			}
 			n.coordinators.released(time.Now(), c.address, link)
 		}
+		if better != nil {
+			continue
+		}
 		pause := link.retryPause
 		if n.table.Load() == nil {
 			pause = unconfiguredRetryPause
@@ -201,22 +213,37 @@
 	}
 }
 
-// followCoordinator receives from one coordinator until its feed fails or times out; lastConfirmed is when the link
-// was last confirmed. It reports whether a confirmed feed message was received.
-func (n *Node) followCoordinator(ctx context.Context, c contact, link coordinatorLink, lastConfirmed time.Time) bool {
+// followCoordinator receives from one coordinator until its feed fails or times out, or until a better coordinator is
+// found, which it returns; lastConfirmed is when the link was last confirmed. It reports whether a confirmed feed message
+// was received.
+func (n *Node) followCoordinator(ctx context.Context, c contact, link coordinatorLink, lastConfirmed time.Time) (confirmed bool, better *contact) {
 	n.Log.Emit(time.Now(), crevent.State, crevent.DependencyBack, crevent.KeyAddress, c.address, crevent.KeyDetail, link.name,
 		crevent.KeyOutcome, c.view.GetConfirmed())
-	confirmed, err := n.receiveFeed(ctx, c, link, lastConfirmed)
+	linkCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var unconfirmed atomic.Bool
+	unconfirmed.Store(true)
+	found := make(chan *contact, 1)
+	if link.carriesDirectory {
+		go func() {
+			found <- n.probe(linkCtx, c.address, link, &unconfirmed)
+			cancel()
+		}()
+	} else {
+		found <- nil
+	}
+	confirmed, err := n.receiveFeed(linkCtx, c, link, lastConfirmed, &unconfirmed)
+	cancel()
 	if ctx.Err() == nil {
 		n.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyAddress, c.address, crevent.KeyDetail, link.name, crevent.KeyError, err)
 	}
-	return confirmed
+	return confirmed, <-found
 }
 
 // receiveFeed receives documents from one coordinator, and on the primary link also the directory. An unconfirmed
 // document is held back until a confirmed message follows, or until the link has been unconfirmed for
-// acceptUnconfirmedAfter.
-func (n *Node) receiveFeed(ctx context.Context, c contact, link coordinatorLink, lastConfirmed time.Time) (confirmed bool, err error) {
+// acceptUnconfirmedAfter. unconfirmed is kept equal to whether the last message was not confirmed.
+func (n *Node) receiveFeed(ctx context.Context, c contact, link coordinatorLink, lastConfirmed time.Time, unconfirmed *atomic.Bool) (confirmed bool, err error) {
 	linkCtx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -236,6 +263,7 @@
 	var previouslyConfirmed bool
 	err = crwire.Receive(linkCtx, c.session, crcoord.MethodWatch, &crwire.DocumentWatch{Have: reference.GetVersion(), Packed: true}, func(f *crwire.DocumentFeed) error {
 		n.coordinators.update(f.GetVoters(), nil)
+		unconfirmed.Store(!f.GetConfirmed())
 		d, err := n.documents.resolve(reference, f)
 		if err != nil {
 			n.reportUnreadable(f.GetPacked().GetVersion(), err)
--- a/internal/crforward/search.go
+++ b/internal/crforward/search.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crcoord"
@@ -20,6 +21,9 @@
 	// maxParallelHellos limits the parallel hello exchanges of one node, so that when the coordinators are slow not
 	// every node sends a hello to every one of them.
 	maxParallelHellos = 8
+	// probeInterval is the time between hellos to further coordinators while the linked one is not confirmed. A document
+	// must be in force within 2 s, in which this reaches every coordinator of a small group.
+	probeInterval = 200 * time.Millisecond
 )
 
 // contact is a coordinator that has answered a hello.
@@ -86,6 +90,62 @@
 	return best.contact, best.grade > gradeUnusable
 }
 
+// probe looks for a confirmed coordinator other than the linked one, as long as that one is not confirmed. It returns nil
+// when ctx ends first. Unlike findCoordinator it does not settle for a coordinator that answers sooner.
+func (n *Node) probe(ctx context.Context, linked string, link coordinatorLink, unconfirmed *atomic.Bool) *contact {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	found := make(chan contact, 1)
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	var round []string
+	for {
+		select {
+		case c := <-found:
+			if unconfirmed.Load() {
+				return &c
+			}
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			if !unconfirmed.Load() {
+				continue
+			}
+			var address string
+			if address, round = n.nextProbe(now, linked, round); address != "" {
+				wg.Go(func() { n.probeOnce(ctx, address, link, found) })
+			}
+		}
+	}
+}
+
+// nextProbe takes the next address from a round of probes, and starts a new round when none is left. The address is empty
+// if only the linked coordinator is known.
+func (n *Node) nextProbe(now time.Time, linked string, round []string) (string, []string) {
+	if len(round) == 0 {
+		round = slices.DeleteFunc(n.coordinators.candidates(now), func(a string) bool { return a == linked })
+	}
+	if len(round) == 0 {
+		return "", nil
+	}
+	return round[0], round[1:]
+}
+
+// probeOnce passes on a coordinator if it is confirmed.
+func (n *Node) probeOnce(ctx context.Context, address string, link coordinatorLink, found chan<- contact) {
+	c, g := n.hello(ctx, address, link, false)
+	if g != gradeWanted {
+		return
+	}
+	select {
+	case found <- c:
+	default:
+		// Another one has been found.
+	}
+}
+
 // hello asks a coordinator for the members of the coordinator group and grades its answer.
 func (n *Node) hello(ctx context.Context, address string, link coordinatorLink, acceptAny bool) (contact, grade) {
 	if !link.carriesDirectory && n.coordinators.heldByOtherLink(address, link) {
--- a/internal/crforward/ties_test.go
+++ b/internal/crforward/ties_test.go
@@ -178,6 +178,68 @@
 	qt.Assert(t, time.Since(since) < 1600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
 }
 
+// TestSlowConfirmedCoordinator guards against a node that stays with coordinators without a leader because the one that
+// has a newer document answers more slowly than they do, as after a loss of power of all of them. An acknowledged change
+// must be in force within 2 s.
+func TestSlowConfirmedCoordinator(t *testing.T) {
+	var leaderless atomic.Bool
+	newLeaderless := func() *fakeCoordinator {
+		return &fakeCoordinator{
+			view: func(c *fakeCoordinator) *crwire.CoreView {
+				return &crwire.CoreView{Voters: []string{c.address}, Confirmed: !leaderless.Load()}
+			},
+			watch: func(ctx context.Context, send func(*crwire.DocumentFeed) error) error {
+				tick := time.NewTicker(100 * time.Millisecond)
+				defer tick.Stop()
+				for {
+					if err := send(feedMessage(7, "[]", !leaderless.Load())); err != nil {
+						return err
+					}
+					select {
+					case <-tick.C:
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}
+			},
+		}
+	}
+	confirmed := &fakeCoordinator{
+		view: func(*fakeCoordinator) *crwire.CoreView {
+			if leaderless.Load() {
+				time.Sleep(300 * time.Millisecond)
+			}
+			return &crwire.CoreView{Confirmed: leaderless.Load()}
+		},
+		watch: func(_ context.Context, send func(*crwire.DocumentFeed) error) error {
+			routes, err := json.Marshal([]crroute.Route{newRoute("/p/", "ledger", crroute.Once)})
+			if err != nil {
+				return err
+			}
+			return send(feedMessage(8, string(routes), true))
+		},
+	}
+	confirmed.start(t)
+	seeds := []string{confirmed.address}
+	for range 3 {
+		c := newLeaderless()
+		c.start(t)
+		seeds = append(seeds, c.address)
+	}
+	n := (&cluster{t: t, seed: seeds[0], moreSeeds: seeds[1:]}).addNode("ledger")
+	t.Cleanup(n.stop)
+	n.waitForStatus(t, "/p/x", http.StatusNotFound)
+	// Both links have found their coordinators by now.
+	eventually(t, func() bool { return time.Since(n.serverStart) > 2*time.Second })
+	leaderless.Store(true)
+	since := time.Now()
+	eventually(t, func() bool {
+		resp, _, err := n.send(context.Background(), "GET", "/p/x", "probe", nil)
+		return err == nil && resp.StatusCode != http.StatusNotFound
+	})
+	qt.Assert(t, time.Since(since) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(since)))
+}
+
 // TestOtherReference guards against a node that gets no new documents, or applies a wrong one, because its own
 // document is not the reference with which its coordinator packed the next one. The node must request an unpacked
 // document.
