crforward: tell clients refused late in a stop to come back after it

Callers would see: a refusal late in a stop with a Retry-After that ends before the process does, so that they find no node. Cause: the deadline of a refused call was shortened to the cut-off as well, and a third of the time until then bounds Retry-After. Change: only accepted calls get the shorter deadline.

--- a/internal/crforward/stop.go
+++ b/internal/crforward/stop.go
@@ -46,17 +46,20 @@
 	cutOff time.Time
 }
 
-// limit shortens the deadline of a call to the cut-off, so that its server ends it in time, and reports whether the
-// call may start. usual is the mean latency of its route, zero if unknown. A nil state is that of a node that runs.
+// limit reports whether a call may start, and shortens its deadline to the cut-off, so that its server ends it in time.
+// usual is the mean latency of its route, zero if unknown. A nil state is that of a node that runs.
 func (s *stopState) limit(now time.Time, c *call, usual time.Duration) bool {
 	if s == nil || !c.deadline.After(s.cutOff) {
 		return true
 	}
+	if s.phase == stopFinishing && (usual == 0 || s.cutOff.Sub(now) < lateLatencyFactor*usual) {
+		return false
+	}
 	c.deadline = s.cutOff
 	if c.due.After(s.cutOff) {
 		c.due = s.cutOff
 	}
-	return s.phase == stopGrace || usual > 0 && s.cutOff.Sub(now) >= lateLatencyFactor*usual
+	return true
 }
 
 // stoppingReply refuses a request that cannot be answered before the node stops. A client of this instance finds no
--- a/internal/crforward/stop_test.go
+++ b/internal/crforward/stop_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -125,7 +126,11 @@
 			served++
 		default:
 			qt.Check(t, r.status, qt.Equals, http.StatusServiceUnavailable)
-			qt.Check(t, r.retry, qt.Not(qt.Equals), "")
+			// The client finds no node before the cut-off, at 0.86 of the stop timeout of 3 s.
+			seconds, err := strconv.ParseFloat(r.retry, 64)
+			qt.Check(t, err, qt.IsNil)
+			back := r.sent + time.Duration(seconds*float64(time.Second))
+			qt.Check(t, back >= 2580*time.Millisecond, qt.IsTrue, qt.Commentf("%s, sent at %s, is told to come back at %s", id, r.sent, back))
 			qt.Check(t, didRun, qt.IsFalse, qt.Commentf("%s was refused and ran", id))
 			refused++
 		}
