crforward: let servers end the runs whose time a stop has shortened

Callers would see: 502 of the node in place of the server's own answer, for requests that a stop had given until its cut-off. Cause: the node gave up what was left at the very moment at which the servers end those runs, before their answers arrive. Evidence: TestPlannedStopServerEnds failed before: 502 in three of five requests in place of the server's 504. Change: what is left is given up 0.15 s later; the entrance writes answers for 0.3 s after the cut-off, as before. The search for a coordinator is a function of its own, and names of the stop say what they hold.

--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -109,9 +109,9 @@
 	// refuse new work.
 	stopping   atomic.Pointer[stopState]
 	gateClosed atomic.Bool
-	// afterCutOff ends at the cut-off of a stop, which cutOff triggers.
-	afterCutOff context.Context
-	cutOff      context.CancelFunc
+	// untilGivenUp ends when a stop gives up the requests that are left, by a call of giveUp.
+	untilGivenUp context.Context
+	giveUp       context.CancelFunc
 	// inFlight is the number of requests at the entrance.
 	inFlight atomic.Int64
 
@@ -133,7 +133,7 @@
 // Run serves until ctx ends, then finishes the requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare()
-	defer n.cutOff()
+	defer n.giveUp()
 	tasks, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	entrance := n.server(http.HandlerFunc(n.serveEntrance), entranceIdleTimeout)
@@ -176,7 +176,7 @@
 	if n.Suspended == nil {
 		n.Suspended = crclock.Suspended
 	}
-	n.afterCutOff, n.cutOff = context.WithCancel(context.Background())
+	n.untilGivenUp, n.giveUp = context.WithCancel(context.Background())
 	n.endpoint = &crwire.Endpoint{
 		Identity: crwire.Identity{Self: crwire.Peer{
 			Name: n.Settings.Name, Incarnation: time.Now().UTC().Format("20060102T150405.000000000"), Role: crwire.RoleNode,
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -118,11 +118,11 @@
 	}
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
-	unlink := context.AfterFunc(n.afterCutOff, cancel)
-	defer unlink()
+	stopWaiting := context.AfterFunc(n.untilGivenUp, cancel)
+	defer stopWaiting()
 	r, attempts := n.placeTracked(ctx, c, route)
 	if ctx.Err() != nil && req.Context().Err() == nil && isCancelled(r) {
-		r = cutOffReply(r)
+		r = givenUpReply(r)
 	}
 	defer r.release()
 	n.logAnswer(c, r, attempts, now)
@@ -146,7 +146,7 @@
 	if s.limit(now, c, n.services.get(c.service).meanLatency(c.route)) {
 		return nil
 	}
-	return s.stoppingReply(now)
+	return s.refusal(now)
 }
 
 func isCancelled(r *reply) bool { return r.code == crcode.Cancelled || r.code == crcode.CancelledRun }
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -182,26 +182,21 @@
 // follow maintains a link until ctx ends.
 func (n *Node) follow(ctx context.Context, link coordinatorLink) {
 	lastConfirmed := time.Now()
-	var better *contact
+	var next *contact
 	for ctx.Err() == nil {
-		var c contact
-		ok := better != nil
-		if ok {
-			c, better = *better, nil
-		} else {
-			acceptAny := time.Since(lastConfirmed) > acceptUnconfirmedAfter
-			c, ok = findCoordinator(ctx, n.coordinators.candidates(time.Now()), func(ctx context.Context, address string) (contact, grade) {
-				return n.hello(ctx, address, link, acceptAny)
-			})
+		c := next
+		if c == nil {
+			c = n.search(ctx, link, lastConfirmed)
 		}
-		if ok && n.coordinators.claim(c.address, link) {
+		next = nil
+		if c != nil && n.coordinators.claim(c.address, link) {
 			var confirmed bool
-			if confirmed, better = n.followCoordinator(ctx, c, link, lastConfirmed); confirmed {
+			if confirmed, next = n.followCoordinator(ctx, *c, link, lastConfirmed); confirmed {
 				lastConfirmed = time.Now()
 			}
 			n.coordinators.released(time.Now(), c.address, link)
 		}
-		if better != nil {
+		if next != nil {
 			continue
 		}
 		pause := link.retryPause
@@ -213,6 +208,19 @@
 	}
 }
 
+// search returns the best coordinator that answers, or nil if none does; lastConfirmed is when the link was last
+// confirmed.
+func (n *Node) search(ctx context.Context, link coordinatorLink, lastConfirmed time.Time) *contact {
+	acceptAny := time.Since(lastConfirmed) > acceptUnconfirmedAfter
+	c, ok := findCoordinator(ctx, n.coordinators.candidates(time.Now()), func(ctx context.Context, address string) (contact, grade) {
+		return n.hello(ctx, address, link, acceptAny)
+	})
+	if !ok {
+		return nil
+	}
+	return &c
+}
+
 // followCoordinator receives from one coordinator until its feed fails or times out, or until a better coordinator is
 // found, which it returns; lastConfirmed is when the link was last confirmed. It reports whether a confirmed feed message
 // was received.
--- a/internal/crforward/stop.go
+++ b/internal/crforward/stop.go
@@ -19,8 +19,10 @@
 	// gateCloseLead is how long before the end of that time the gate closes. The directory informs all nodes within a
 	// fifth of a second; until then a refused call costs only one more hop.
 	gateCloseLead = 400 * time.Millisecond
-	// lastAnswersTimeout limits the time after the cut-off in which the entrance writes the answers of requests whose
-	// deadline was the cut-off. It exceeds peerAnswerSlack.
+	// giveUpDelay is how long after the cut-off the requests that are left are given up. It exceeds peerAnswerSlack, so
+	// that servers end the runs whose deadline was the cut-off themselves.
+	giveUpDelay = 150 * time.Millisecond
+	// lastAnswersTimeout limits the time after the cut-off in which the entrance writes the last answers.
 	lastAnswersTimeout = 300 * time.Millisecond
 	// taskEndTimeout limits the wait for background tasks after the last request.
 	taskEndTimeout = 300 * time.Millisecond
@@ -62,9 +64,9 @@
 	return true
 }
 
-// stoppingReply refuses a request that cannot be answered before the node stops. A client of this instance finds no
+// refusal is the reply to a request that cannot be answered before the node stops. A client of this instance finds no
 // node before the process has ended.
-func (s *stopState) stoppingReply(now time.Time) *reply {
+func (s *stopState) refusal(now time.Time) *reply {
 	r := failureReply(crcode.Stopping, "")
 	r.retryAfter = s.cutOff.Add(lastAnswersTimeout).Sub(now)
 	return r
@@ -86,7 +88,7 @@
 	n.announce()
 	time.Sleep(min(gateCloseLead, notReadyTime))
 	n.stopping.Store(&stopState{phase: stopFinishing, cutOff: cutOff})
-	timer := time.AfterFunc(time.Until(cutOff), n.cutOff)
+	timer := time.AfterFunc(time.Until(cutOff)+giveUpDelay, n.giveUp)
 	defer timer.Stop()
 	n.shutdown(inbound, "inbound", cutOff)
 	n.shutdown(entrance, "entrance", cutOff.Add(lastAnswersTimeout))
@@ -101,8 +103,8 @@
 	}
 }
 
-// cutOffReply returns the reply to a call that was cancelled by the cut-off of a stop.
-func cutOffReply(r *reply) *reply {
+// givenUpReply returns the reply to a call that was cancelled at the end of a stop.
+func givenUpReply(r *reply) *reply {
 	if r.code == crcode.Cancelled {
 		return failureReply(crcode.Stopping, "")
 	}
--- a/internal/crforward/stop_test.go
+++ b/internal/crforward/stop_test.go
@@ -170,3 +170,34 @@
 		qt.Check(t, <-errs, qt.IsNil)
 	}
 }
+
+// TestPlannedStopServerEnds guards against a stopping node that breaks off a run and answers in place of the server, which
+// ends the run itself at the end of the time that it was given.
+func TestPlannedStopServerEnds(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	stopped, to := c.addNode("ledger"), c.addNode("photos")
+	route := newRoute("/p/", "photos", crroute.Once)
+	route.Timeout = 8 * time.Second
+	c.putRoutes(3, 0, route)
+	stopped.warmUp(t, "POST", "/p/warm", to)
+	to.backend.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get(headerNames.Timeout))
+		if err != nil {
+			panic(err)
+		}
+		time.Sleep(time.Duration(left) * time.Millisecond)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	stopped.cancel()
+	results := make(chan lateRequest, 5)
+	for i := range 5 {
+		time.Sleep(20 * time.Millisecond)
+		go func() { results <- stopped.sendOnce("/p/x", fmt.Sprintf("long-%d", i)) }()
+	}
+	for range 5 {
+		r := <-results
+		qt.Check(t, r.err, qt.IsNil)
+		qt.Check(t, r.status, qt.Equals, http.StatusGatewayTimeout)
+	}
+}
