crforward: a stopping node's gate gives servers no more time than the node has left

Callers saw: 502 for a run that a node had accepted from another one after its signal, and cut at the end of its stop. Cause: the same as at the entrance: a request was passed on with a deadline after the cut-off.

--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -140,7 +140,7 @@
 	n.reject(w, c, r, n.retryAfter(time.Now(), c, r))
 }
 
-// admitStopping refuses a call that cannot be answered before the node stops.
+// admitStopping refuses a call, at the entrance or the gate, that cannot be answered before the node stops.
 func (n *Node) admitStopping(now time.Time, c *call) *reply {
 	s := n.stopping.Load()
 	if s.limit(now, c, n.services.get(c.service).meanLatency(c.route)) {
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -391,7 +391,11 @@
 func (g *gate) handleCall(ctx context.Context, c *call) *reply {
 	start := time.Now()
 	c.origin = g.origins.observe(start, c.route, c.caller, c.callerIdle, g.node.services.serverCounts())
-	gr, code := g.admit(ctx, c)
+	code := crcode.Stopping
+	var gr grant
+	if g.node.admitStopping(start, c) == nil {
+		gr, code = g.admit(ctx, c)
+	}
 	waited := time.Since(start)
 	if code != crcode.OK {
 		r := failureReply(code, "")
--- a/internal/crforward/stop.go
+++ b/internal/crforward/stop.go
@@ -90,7 +90,7 @@
 	n.stopping.Store(&stopState{phase: stopFinishing, cutOff: cutOff})
 	timer := time.AfterFunc(time.Until(cutOff)+giveUpDelay, n.giveUp)
 	defer timer.Stop()
-	n.shutdown(inbound, "inbound", cutOff)
+	n.shutdown(inbound, "inbound", cutOff.Add(giveUpDelay))
 	n.shutdown(entrance, "entrance", cutOff.Add(lastAnswersTimeout))
 }
 
--- a/internal/crforward/stop_test.go
+++ b/internal/crforward/stop_test.go
@@ -314,3 +314,34 @@
 		qt.Check(t, r.status, qt.Equals, http.StatusGatewayTimeout)
 	}
 }
+
+// TestPlannedStopRunFromOtherNode guards against a run from another node that is cut at the end of a graceful stop: the
+// server must be told to end it before the node does.
+func TestPlannedStopRunFromOtherNode(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	from, stopped := c.addNode("ledger"), c.addNode("photos")
+	route := newRoute("/p/", "photos", crroute.Once)
+	route.Timeout = 8 * time.Second
+	c.putRoutes(3, 0, route)
+	from.warmUp(t, "POST", "/p/warm", stopped)
+	stopped.backend.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get(headerNames.Timeout))
+		if err != nil {
+			panic(err)
+		}
+		time.Sleep(time.Duration(left) * time.Millisecond)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	stopped.cancel()
+	time.Sleep(100 * time.Millisecond)
+	answered := make(chan lateRequest, 1)
+	go func() { answered <- from.sendOnce("/p/x", "long") }()
+	select {
+	case r := <-answered:
+		qt.Assert(t, r.err, qt.IsNil)
+		qt.Assert(t, r.status, qt.Equals, http.StatusGatewayTimeout)
+	case <-stopped.done:
+		t.Fatal("the node ended while the server worked on a run")
+	}
+}
