crforward: test that a refused leave is acknowledged once a coordinator is back

Cause: the comment of TestLeaveIsRefusedWithoutCoordinators promised a check that it did not make. Change: the test starts the coordinator again on its disk and repeats the announcement; the start is a function of the cluster.

--- a/internal/crforward/departed_test.go
+++ b/internal/crforward/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -77,6 +78,13 @@
 				qt.Assert(t, err, qt.IsNil)
 			}
 			qt.Assert(t, one.backend.runs.Load()-ran, qt.Equals, int64(0))
+			inner, err := net.Listen("tcp", c.seed)
+			qt.Assert(t, err, qt.IsNil)
+			c.startCoord(inner, c.coord.Settings.DataDir, false)
+			eventually(t, func() bool { return leave(one) == nil })
+			_, _, err = from.send(context.Background(), "GET", "/p/x", "later", nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, one.backend.runs.Load()-ran, qt.Equals, int64(0))
 		})
 	}
 }
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -101,36 +101,42 @@
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	inner := listener(t)
-	seed := inner.Addr().String()
-	c := &cluster{t: t, seed: seed, coord: &crcoord.Coordinator{
+	c := &cluster{t: t, seed: inner.Addr().String()}
+	c.startCoord(inner, t.TempDir(), true)
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.cancel()
+		}
+		for _, n := range c.nodes {
+			n.stop()
+		}
+		c.stopCoord()
+	})
+	return c
+}
+
+// startCoord starts the coordinator with the disk in dir.
+func (c *cluster) startCoord(inner net.Listener, dir string, first bool) {
+	c.t.Helper()
+	coord := &crcoord.Coordinator{
 		Settings: crcoord.Settings{
-			Name: "core", Domain: "a", Address: seed, DataDir: t.TempDir(), Seeds: []string{seed}, FirstStart: true, StopTimeout: time.Second,
+			Name: "core", Domain: "a", Address: c.seed, DataDir: dir, Seeds: []string{c.seed}, FirstStart: first, StopTimeout: time.Second,
 		},
-		Inner: inner, API: listener(t), Handler: http.NotFoundHandler(), Log: &crevent.Log{Out: io.Discard},
-	}}
+		Inner: inner, API: listener(c.t), Handler: http.NotFoundHandler(), Log: &crevent.Log{Out: io.Discard},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := c.coord.Run(ctx); err != nil {
-			t.Errorf("coordinator: %v", err)
+		if err := coord.Run(ctx); err != nil {
+			c.t.Errorf("coordinator: %v", err)
 		}
 	}()
-	c.stopCoord = func() {
+	c.coord, c.stopCoord = coord, func() {
 		cancel()
 		<-done
 	}
-	t.Cleanup(func() {
-		for _, n := range c.nodes {
-			n.cancel()
-		}
-		for _, n := range c.nodes {
-			n.stop()
-		}
-		c.stopCoord()
-	})
-	eventually(t, c.coord.Started)
-	return c
+	eventually(c.t, coord.Started)
 }
 
 func eventually(t testing.TB, ok func() bool) {
