crroute, crforward: organisations with keys, names and priorities

Cause: a configuration with organisations was refused, so that no node of such a deployment was ever ready. Change: a table holds organisations with their keys, priority and quota; the entrance identifies a request by its key, answers 401 for an unknown one, removes the key, and sets the name of the organisation for the server. The priority of an organisation goes before that of its route. Codes 226 to 228.

--- a/internal/crforward/answer.go
+++ b/internal/crforward/answer.go
@@ -49,6 +49,9 @@
 		status = http.StatusServiceUnavailable
 		h.Set(n.Settings.Headers.RetryAfter, formatSeconds(retryAfter))
 	}
+	if status == http.StatusTooManyRequests {
+		h.Set(n.Settings.Headers.RetryAfter, formatSeconds(retryAfter))
+	}
 	h.Set("Citronramp-Code", strconv.Itoa(int(r.code)))
 	h.Set("Content-Length", "0")
 	w.WriteHeader(status)
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -34,6 +34,11 @@
 	suspended time.Duration
 	// importance is derived from the priority of the route; a higher value is more important.
 	importance uint32
+	// priority is the rank of the request: that of its organisation if it has one, otherwise that of its route.
+	priority int
+	// organisation is the name of the organisation whose key the request carried. It is empty for calls of servers and
+	// on anonymous routes.
+	organisation string
 	// caller is the service of the instance at whose entrance the request arrived.
 	caller string
 	// callerIdle is set if the server of that instance ran nothing at the time, so that a client must have sent the
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -38,6 +38,10 @@
 	NotRun string
 	// RetryAfter is the header that says when a refused client should retry, in seconds.
 	RetryAfter string
+	// Key is the header with the key of the client's organisation. It is removed at the entrance.
+	Key string
+	// Organisation is the header that names the organisation to backend servers. The entrance sets it.
+	Organisation string
 }
 
 // Settings are the settings of a node.
@@ -86,6 +90,7 @@
 	documents documents
 	// hintsNeeded is set by a request of a route whose origin or cost is unknown, and triggers an exchange of hints.
 	hintsNeeded  atomic.Bool
+	keyedRoutes  keyedRoutes
 	endpoint     *crwire.Endpoint
 	directory    *crdirectory.Client
 	coordinators coordinators
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -43,6 +43,11 @@
 		n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, failureReply(crcode.UnknownService, "no route"), 0)
 		return
 	}
+	organisation, refused := n.identify(table, route, req.Header)
+	if refused != nil {
+		n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, refused, 0)
+		return
+	}
 	if limit := table.Limits().BodyBytes; limit > 0 {
 		if req.ContentLength > limit {
 			n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, failureReply(crcode.BodyTooLarge, ""), 0)
@@ -54,6 +59,7 @@
 	}
 	// The deadline of a pipelined request counts from its arrival, not from the end of the requests before it.
 	c := n.newCall(req, route, crpipeline.ArrivalTime(req.Context(), now))
+	c.setOrganisation(organisation)
 	n.serveCall(w, req, c, route, now)
 }
 
@@ -80,7 +86,7 @@
 	if c.origin == originClients && n.costs.get(route.Name).cost == nil {
 		n.hintsNeeded.Store(true)
 	}
-	c.importance = uint32(maxImportance - min(max(route.Priority, 0), maxImportance-1))
+	c.setPriority(route.Priority)
 	c.due = c.deadline
 	if target := arrived.Add(route.Target); route.Target > 0 && target.Before(c.due) {
 		c.due = target
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
@@ -35,8 +36,8 @@
 
 // admissionShare returns the share of a route's requests to admit, with the service that limits it and the pressure
 // there. The present request counts as offered load of all services that the route uses.
-func (n *Node) admissionShare(now time.Time, route *crroute.Route, own string) (share float64, service string, pressure float64) {
-	share, service = 1, own
+func (n *Node) admissionShare(now time.Time, c *call, route *crroute.Route) (share float64, service string, pressure float64) {
+	share, service = 1, c.service
 	costs := n.costs.get(route.Name).cost
 	known := costs != nil
 	if !known {
@@ -48,10 +49,10 @@
 			continue
 		}
 		if known {
-			n.shares.RecordOffered(now, s, route.Priority, time.Duration(seconds*float64(time.Second)))
+			n.shares.RecordOffered(now, s, c.priority, time.Duration(seconds*float64(time.Second)))
 		}
 		p := n.board.Pressure(now, s)
-		v := n.shares.AdmittedFraction(now, s, route.Priority, p)
+		v := n.shares.AdmittedFraction(now, s, c.priority, p)
 		if known && n.services.lacksServers(s) {
 			// The service has no servers. A few requests are still admitted, to find out when the route no longer uses
 			// it.
@@ -103,16 +104,25 @@
 	if c.origin != originClients {
 		return nil
 	}
-	share, service, pressure := n.admissionShare(now, route, c.service)
-	if n.shares.Admit(route.Name, share) {
+	share, service, pressure := n.admissionShare(now, c, route)
+	if n.shares.Admit(admissionKey(c, route), share) {
 		return nil
 	}
 	n.Counters.Add("shed", 1)
 	n.Log.Emit(now, crevent.Failure, crevent.Rejected, crevent.KeyID, c.id, crevent.KeyRoute, c.route, crevent.KeyService, service,
-		crevent.KeyPriority, route.Priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, "shed")
+		crevent.KeyPriority, c.priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, "shed")
 	return failureReply(crcode.Overloaded, "shed")
 }
 
+// admissionKey returns the name under which the admission of similar requests is spaced evenly: their route, and their
+// priority where organisations differ in it.
+func admissionKey(c *call, route *crroute.Route) string {
+	if c.priority == route.Priority {
+		return route.Name
+	}
+	return route.Name + "/" + strconv.Itoa(c.priority)
+}
+
 // callFailedSince reports whether a call made by the backend server has failed since the given time.
 func (n *Node) callFailedSince(t time.Time) bool {
 	return n.lastCallFailure.Load() >= t.UnixNano()
--- a/pkg/crcode/table.go
+++ b/pkg/crcode/table.go
@@ -36,6 +36,9 @@
 	MissingCallKey   Code = 223
 	ServerRefused    Code = 224
 	Suspected        Code = 225
+	UnknownKey       Code = 226
+	QuotaExceeded    Code = 227
+	KeysUnconfirmed  Code = 228
 )
 
 // Codes of requests whose outcome is unknown or whose answer is not available.
@@ -128,6 +131,9 @@
 	{MissingCallKey, "missing_call_key", NotRun, http.StatusBadRequest, "A deeper call of a kind that may not be repeated needs Citronramp-Call-Key."},
 	{ServerRefused, "server_refused", NotRun, http.StatusServiceUnavailable, "The backend server refused the request without running it. Send it again after Retry-After."},
 	{Suspected, "suspected", NotRun, http.StatusServiceUnavailable, "Servers crashed while they ran this request. It runs again on one that has been up for some seconds. Send it again after Retry-After."},
+	{UnknownKey, "unknown_key", NotRun, http.StatusUnauthorized, "No organisation holds the key of the request. Correct the key or ask an operator to add it."},
+	{QuotaExceeded, "quota_exceeded", NotRun, http.StatusTooManyRequests, "The organisation has used up its quota. Send the request again after Retry-After."},
+	{KeysUnconfirmed, "keys_unconfirmed", NotRun, http.StatusServiceUnavailable, "The node cannot confirm that its keys are current. Send the request again after Retry-After."},
 	{AnswerLost, "answer_lost", Unknown, http.StatusBadGateway, "The connection broke after the request was sent. Send it again with the same id."},
 	{InProgress, "in_progress", Unknown, http.StatusConflict, "The request was started before and has no answer yet. Send it again later with the same id."},
 	{DeadlineRunning, "deadline_running", Unknown, http.StatusGatewayTimeout, "The deadline passed while the request ran. Send it again with the same id."},
--- a/pkg/crroute/crroute.go
+++ b/pkg/crroute/crroute.go
@@ -46,6 +46,8 @@
 	Shares   []Share
 	// MaxAttempts limits the number of servers that one request may be sent to.
 	MaxAttempts int
+	// Anonymous routes accept requests without the key of an organisation.
+	Anonymous bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -97,11 +99,21 @@
 	byHost   map[string][]*Route
 	services map[string]Service
 	limits   Limits
+	// organisations holds the organisations by name, and byKey by each of their keys.
+	organisations, byKey map[string]*Organisation
 }
 
 // New returns a table, or a BadValue error that names the first invalid value.
-func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
-	t := &Table{version: version, byHost: map[string][]*Route{}, services: map[string]Service{}, limits: limits}
+func New(version uint64, routes []Route, services []Service, limits Limits, organisations ...Organisation) (*Table, error) {
+	t := &Table{
+		version: version, byHost: map[string][]*Route{}, services: map[string]Service{}, limits: limits,
+		organisations: map[string]*Organisation{}, byKey: map[string]*Organisation{},
+	}
+	for _, o := range organisations {
+		if err := t.addOrganisation(&o); err != nil {
+			return nil, err
+		}
+	}
 	for _, s := range services {
 		if _, ok := t.services[s.Name]; ok || s.Name == "" {
 			return nil, crcode.New(crcode.BadValue, "service %q has no name or stands twice", s.Name)
