crexchange, crnode: refuse cut answers without a length and statuses out of range

Cause: when a server answers an upload early with a 200 without a length and resets the connection, a write of the upload gets the error of the reset, and the read of the answer only sees the end of the connection: the part was taken as complete. Statuses 600 and above were passed on as answers; at the product's own door status 000 ended the handler and 600 was recorded as the result. Change: an answer that ends with its connection is complete only if the request was sent completely; the read waits up to 20 ms for the result of the last write. A status outside 100 to 599 is no answer: 502, which promises nothing.

--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -33,6 +33,11 @@
 	// the body of each: a new connection costs less than reading more.
 	maxForeign     = 2
 	maxForeignBody = 64 << 10
+	// uploadEndWait is how long the end of a response without a length waits for the result of the last write of the request.
+	// Both are reported at nearly the same moment.
+	uploadEndWait = 20 * time.Millisecond
+	// minStatus and maxStatus bound the status codes of HTTP.
+	minStatus, maxStatus = 100, 599
 	// maxInterim bounds the 1xx responses before the final one; usual servers send one or two.
 	maxInterim = 5
 	bufferSize = 8 << 10
@@ -45,6 +50,12 @@
 // ErrForeign is the error for a response that does not belong to the request.
 var ErrForeign = errors.New("the response does not belong to the request")
 
+// errStatus is the error for a status that HTTP does not define.
+var errStatus = errors.New("the status of the response is out of range")
+
+// errCut is the error for a response without a length whose connection ended before the request was sent completely.
+var errCut = errors.New("the connection ended during the request, and the response has no length")
+
 // errInterim is the error for more than maxInterim interim responses.
 var errInterim = errors.New("too many interim responses")
 
@@ -89,7 +100,7 @@
 	client   *Client
 	stop     func() bool
 	body     *trackedBody
-	sent     <-chan error
+	sent     *upload
 	reusable bool
 	keep     time.Duration
 }
@@ -121,13 +132,13 @@
 		_ = cn.Close()
 		return nil, orContext(ctx, err)
 	}
-	resp, err := c.receive(cn, r)
+	resp, err := c.receive(cn, r, sent)
 	if err != nil {
 		stop()
 		_ = cn.Close()
 		return nil, orContext(ctx, err)
 	}
-	resp.stop, resp.sent = stop, sent
+	resp.stop = stop
 	return resp, nil
 }
 
@@ -207,7 +218,7 @@
 
 // send writes the head, and the body in its own goroutine, so that a response that arrives before the whole body was sent
 // can be read.
-func (cn *conn) send(r *Request) (<-chan error, error) {
+func (cn *conn) send(r *Request) (*upload, error) {
 	w := writerPool.Get().(*bufio.Writer)
 	w.Reset(cn)
 	writeHead(w, r)
@@ -215,17 +226,17 @@
 		defer putWriter(w)
 		return nil, w.Flush()
 	}
-	done := make(chan error, 1)
+	u := &upload{ended: make(chan struct{})}
 	go func() {
 		defer putWriter(w)
-		err := writeBody(w, r)
-		if err != nil {
+		u.err = writeBody(w, r)
+		if u.err != nil {
 			// A truncated body must not look complete to the server.
 			_ = cn.Close()
 		}
-		done <- err
+		close(u.ended)
 	}()
-	return done, nil
+	return u, nil
 }
 
 func writeHead(w *bufio.Writer, r *Request) {
@@ -261,7 +272,7 @@
 
 // receive reads responses until the one to this request arrives. Interim responses and late responses to earlier requests
 // are skipped.
-func (c *Client) receive(cn *conn, r *Request) (*Response, error) {
+func (c *Client) receive(cn *conn, r *Request, sent *upload) (*Response, error) {
 	request := &http.Request{Method: r.Method}
 	reusable := c.identifiable(r)
 	for foreign, interim := 0, 0; ; {
@@ -271,6 +282,9 @@
 			return nil, err
 		}
 		cn.headLimit.remaining = math.MaxInt
+		if hr.StatusCode < minStatus || hr.StatusCode > maxStatus {
+			return nil, errStatus
+		}
 		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
 			if interim++; interim > maxInterim {
 				return nil, errInterim
@@ -288,10 +302,13 @@
 			continue
 		}
 		body := &trackedBody{r: hr.Body}
+		if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && hr.Body != http.NoBody {
+			body.untilClose = sent
+		}
 		keep, ok := keepFor(hr, c.idleTime())
 		return &Response{
 			Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, Body: body, body: body, conn: cn, client: c,
-			reusable: reusable && ok, keep: keep,
+			sent: sent, reusable: reusable && ok, keep: keep,
 		}, nil
 	}
 }
@@ -343,35 +360,10 @@
 	return idle, idle > 0
 }
 
-// trackedBody records whether the body was read to its end.
-type trackedBody struct {
-	r        io.Reader
-	complete bool
-}
-
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if err == io.EOF {
-		b.complete = true
-	}
-	return n, err
-}
-
-// BodyComplete reports whether the body was read to its end.
-func (r *Response) BodyComplete() bool { return r.body.complete }
-
 // Close ends the exchange. A connection that is not in a clean state is closed.
 func (r *Response) Close() {
 	alive := r.stop()
-	sent := r.sent == nil
-	if !sent {
-		select {
-		case err := <-r.sent:
-			sent = err == nil
-		default:
-		}
-	}
-	if !alive || !sent || !r.reusable || !r.body.complete || r.conn.reader.Buffered() > 0 || !r.client.putIdle(r.conn, r.keep) {
+	if !alive || !r.sent.complete() || !r.reusable || !r.body.complete || r.conn.reader.Buffered() > 0 || !r.client.putIdle(r.conn, r.keep) {
 		_ = r.conn.Close()
 	}
 }
--- a/internal/crnode/backend.go
+++ b/internal/crnode/backend.go
@@ -138,11 +138,17 @@
 	return refusal(crcode.AnswerLost, "the backend server did not answer in HTTP")
 }
 
+// minStatus and maxStatus bound the status codes of HTTP.
+const minStatus, maxStatus = 100, 599
+
 // read reads the whole answer. It refuses an answer that is truncated, too large or for another request.
 func (b *backend) read(ctx context.Context, resp *http.Response, id string) answer {
 	if got := resp.Header.Get(HeaderRequestID); got != "" && got != id {
 		return refusal(crcode.AnswerLost, "the backend server answered another request")
 	}
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return refusal(crcode.AnswerLost, "the status of the answer is out of range")
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return refusal(crcode.AnswerTruncated, "the answer has neither Content-Length nor chunks")
 	}
--- a/internal/crnode/whole_test.go
+++ b/internal/crnode/whole_test.go
@@ -36,9 +36,12 @@
 	"chunk": {crcode.AnswerTruncated, func(r *crtest.Run) {
 		writeRaw(r, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nPARTIAL\r\n")
 	}},
-	"no end":  {crcode.AnswerTruncated, func(r *crtest.Run) { writeRaw(r, "HTTP/1.0 200 OK\r\n\r\nPARTIAL") }},
-	"headers": {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "HTTP/1.1 200 OK\r\nContent-Le") }},
-	"no HTTP": {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "PARTIAL\r\n\r\n") }},
+	"no end":      {crcode.AnswerTruncated, func(r *crtest.Run) { writeRaw(r, "HTTP/1.0 200 OK\r\n\r\nPARTIAL") }},
+	"headers":     {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "HTTP/1.1 200 OK\r\nContent-Le") }},
+	"no HTTP":     {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "PARTIAL\r\n\r\n") }},
+	"status 000":  {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "HTTP/1.1 000 Odd\r\nContent-Length: 7\r\n\r\nPARTIAL") }},
+	"status 600":  {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "HTTP/1.1 600 Odd\r\nContent-Length: 7\r\n\r\nPARTIAL") }},
+	"status 1000": {crcode.AnswerLost, func(r *crtest.Run) { writeRaw(r, "HTTP/1.1 1000 Odd\r\nContent-Length: 7\r\n\r\nPARTIAL") }},
 	"large": {crcode.AnswerTooLarge, func(r *crtest.Run) {
 		_, _ = r.W.Write(bytes.Repeat([]byte("PARTIAL"), 200_000))
 	}},
