--- a/pkg/crroute/crroute.go
+++ b/pkg/crroute/crroute.go
@@ -105,37 +105,82 @@
 
 // New returns a table, or a BadValue error that names the first invalid value.
 func New(version uint64, routes []Route, services []Service, limits Limits, organisations ...Organisation) (*Table, error) {
+	t, faults := build(version, routes, services, limits, organisations)
+	if len(faults) > 0 {
+		return nil, faults[0].Err
+	}
+	return t, nil
+}
+
+// Part is a list of entries of a configuration.
+type Part uint8
+
+// The lists of a configuration.
+const (
+	PartRoutes Part = iota
+	PartServices
+	PartOrganisations
+)
+
+// Fault is an invalid entry of a configuration: its list, its position in that list and what is wrong.
+type Fault struct {
+	Part  Part
+	Index int
+	Err   error
+}
+
+// Faults returns every invalid entry. New accepts exactly the configurations without one.
+func Faults(routes []Route, services []Service, organisations []Organisation) []Fault {
+	_, faults := build(0, routes, services, Limits{}, organisations)
+	return faults
+}
+
+func build(version uint64, routes []Route, services []Service, limits Limits, organisations []Organisation) (*Table, []Fault) {
 	t := &Table{
 		version: version, byHost: map[string][]*Route{}, services: map[string]Service{}, limits: limits,
 		organisations: map[string]*Organisation{}, byKey: map[string]*Organisation{},
 	}
-	for _, o := range organisations {
-		if err := t.addOrganisation(&o); err != nil {
-			return nil, err
+	var faults []Fault
+	record := func(part Part, index int, err error) {
+		if err != nil {
+			faults = append(faults, Fault{part, index, err})
 		}
 	}
-	for _, s := range services {
-		if _, ok := t.services[s.Name]; ok || s.Name == "" {
-			return nil, crcode.New(crcode.BadValue, "service %q has no name or stands twice", s.Name)
-		}
-		t.services[s.Name] = s
+	for i, o := range organisations {
+		record(PartOrganisations, i, t.addOrganisation(&o))
 	}
-	for _, r := range routes {
-		if err := t.check(&r); err != nil {
-			return nil, err
-		}
-		host := hostname(r.Host)
-		for _, other := range t.byHost[host] {
-			if other.Prefix == r.Prefix {
-				return nil, crcode.New(crcode.BadValue, "routes %q and %q have the same host and prefix", other.Name, r.Name)
-			}
-		}
-		t.byHost[host] = append(t.byHost[host], &r)
+	for i, s := range services {
+		record(PartServices, i, t.addService(s))
+	}
+	for i, r := range routes {
+		record(PartRoutes, i, t.addRoute(&r))
 	}
 	for _, list := range t.byHost {
 		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return t, nil
+	return t, faults
+}
+
+func (t *Table) addService(s Service) error {
+	if _, ok := t.services[s.Name]; ok || s.Name == "" {
+		return crcode.New(crcode.BadValue, "service %q has no name or stands twice", s.Name)
+	}
+	t.services[s.Name] = s
+	return nil
+}
+
+func (t *Table) addRoute(r *Route) error {
+	if err := t.check(r); err != nil {
+		return err
+	}
+	host := hostname(r.Host)
+	for _, other := range t.byHost[host] {
+		if other.Prefix == r.Prefix {
+			return crcode.New(crcode.BadValue, "routes %q and %q have the same host and prefix", other.Name, r.Name)
+		}
+	}
+	t.byHost[host] = append(t.byHost[host], r)
+	return nil
 }
 
 func (t *Table) check(r *Route) error {
