crlease, crcoord: a lease on the freshness of a node's configuration

Cause: a node without contact goes on with its last configuration, and so with keys that were removed from it. The RPC document.freshness returns the newest version once a confirmation round that began after the request has confirmed it; it triggers no round of its own.

--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -20,8 +20,10 @@
 	MethodHello = "core.hello"
 	MethodWatch = "document.watch"
 	MethodHints = "route.hints"
-	methodPut   = "document.put"
-	methodRead  = "document.read"
+	// MethodFreshness returns the newest version as confirmed after the request arrived.
+	MethodFreshness = "document.freshness"
+	methodPut       = "document.put"
+	methodRead      = "document.read"
 )
 
 // Times of the document stream and of operators' commands.
@@ -41,6 +43,7 @@
 	mux := c.endpoint.Mux
 	crwire.Handle(mux, MethodHello, c.handleHello)
 	crwire.Handle(mux, MethodHints, c.handleHints)
+	crwire.Handle(mux, MethodFreshness, c.handleFreshness)
 	crwire.Handle(mux, MethodStoreNotice, func(ctx context.Context, _ *crwire.Session, n *crwire.DirectoryNotice) (*crwire.DirectoryEmpty, error) {
 		return &crwire.DirectoryEmpty{}, c.storeNotice(ctx, n)
 	})
