crforward, platform: keys of organisations and strict revocation

Cause: the skeleton remembered keyed routes that were gone, let a client strip the organisation's header by a Connection line, and answered 401 for keys that a configuration might have gained meanwhile. Change: keyed routes follow the table; a name or key header of the client never reaches a server; an unknown key is answered 503 with Retry-After while the configuration may be older than config-apply. With revoke-strict=true and revoke, keyed requests are accepted only while a coordinator has confirmed the configuration within 0.98 of revoke, over either link. Bounds that cannot be read end the start with an error. Counters keys_unknown, keys_missing, keys_unconfirmed and freshness_failed, gauge config_age_ms, events keys_refused, lease_lost and lease_held.

--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -45,6 +45,9 @@
 	MemberChange     Event = "member_change"
 	PressureChanged  Event = "pressure_changed"
 	CostLearned      Event = "cost_learned"
+	KeysRefused      Event = "keys_refused"
+	LeaseLost        Event = "lease_lost"
+	LeaseHeld        Event = "lease_held"
 )
 
 // Keys of the values of a log line.
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -64,6 +64,11 @@
 	Heartbeat time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// RevokeWithin is the time after which no node runs requests with a key that was removed from the configuration, also
+	// without contact to coordinators; 0 means that a node without contact goes on with its last configuration.
+	RevokeWithin time.Duration
+	// ConfigApply is the age of the configuration from which an unknown key may be a new one; 0 means never.
+	ConfigApply time.Duration
 	// StopTimeout is the time from the stop signal until the process is killed.
 	StopTimeout time.Duration
 }
@@ -83,14 +88,17 @@
 	Parse          Parser
 	// Suspended returns the total time for which the machine was suspended; nil means crclock.Suspended.
 	Suspended func() time.Duration
-	Log       *crevent.Log
-	Counters  cradmin.Counters
+	// Clock returns the present time of a clock that counts suspension; nil means crclock.Now.
+	Clock    func() time.Time
+	Log      *crevent.Log
+	Counters cradmin.Counters
 
 	table     atomic.Pointer[crroute.Table]
 	documents documents
 	// hintsNeeded is set by a request of a route whose origin or cost is unknown, and triggers an exchange of hints.
 	hintsNeeded  atomic.Bool
 	keyedRoutes  keyedRoutes
+	freshness    freshness
 	endpoint     *crwire.Endpoint
 	directory    *crdirectory.Client
 	coordinators coordinators
@@ -157,6 +165,7 @@
 	n.wg.Go(func() { n.follow(tasks, secondaryLink) })
 	n.wg.Go(func() { n.gate.watchReports(tasks) })
 	n.wg.Go(func() { n.sampleLoad(tasks) })
+	n.wg.Go(func() { n.watchFreshness(tasks) })
 	n.wg.Go(func() {
 		cradmin.WatchSuspensions(tasks, &n.Counters, func(slept time.Duration) {
 			n.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept)
@@ -181,6 +190,9 @@
 	if n.Suspended == nil {
 		n.Suspended = crclock.Suspended
 	}
+	if n.Clock == nil {
+		n.Clock = crclock.Now
+	}
 	n.untilGivenUp, n.giveUp = context.WithCancel(context.Background())
 	n.endpoint = &crwire.Endpoint{
 		Identity: crwire.Identity{Self: crwire.Peer{
--- a/internal/crforward/documents.go
+++ b/internal/crforward/documents.go
@@ -71,7 +71,9 @@
 		n.reportUnreadable(d.GetVersion(), err)
 		return
 	}
+	n.keyedRoutes.retain(t)
 	n.table.Store(t)
+	n.freshness.applied(t.Version())
 	n.documents.setCurrent(d)
 	n.directory.Watch(t.Services(), append(t.Services(), n.departureTopic()))
 	n.Log.Emit(time.Now(), crevent.State, crevent.ConfigLearned, crevent.KeyVersion, t.Version(), crevent.KeyCount, t.Routes(), crevent.KeyOutcome, confirmed)
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -75,8 +75,14 @@
 
 func (n *Node) declareMetrics() {
 	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
-		"suspects", "suspect_waits", "convictions", "quarantine_refused")
+		"suspects", "suspect_waits", "convictions", "quarantine_refused", reasonUnknownKey, reasonMissingKey, reasonUnconfirmed, "freshness_failed")
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
+	n.Counters.Gauge("config_age_ms", func() any {
+		if age, ok := n.configAge(); ok {
+			return age.Milliseconds()
+		}
+		return -1
+	})
 	n.Counters.Gauge("config_version", func() any {
 		if t := n.table.Load(); t != nil {
 			return t.Version()
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -45,7 +45,7 @@
 	}
 	organisation, refused := n.identify(table, route, req.Header)
 	if refused != nil {
-		n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, refused, 0)
+		n.reject(w, &call{id: req.Header.Get(n.Settings.Headers.RequestID)}, refused, refused.retryAfter)
 		return
 	}
 	if limit := table.Limits().BodyBytes; limit > 0 {
--- a/internal/crforward/follow.go
+++ b/internal/crforward/follow.go
@@ -264,6 +264,7 @@
 		})
 	}
 	wg.Go(func() { n.shareHints(linkCtx, c.session) })
+	wg.Go(func() { n.confirmFreshness(linkCtx, c.session) })
 	silenceTimer := time.AfterFunc(feedTimeout, cancel)
 	defer silenceTimer.Stop()
 	reference := n.documents.reference()
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -28,7 +28,7 @@
 
 var headerNames = crforward.Headers{
 	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not-Run",
-	RetryAfter: "Retry-After",
+	RetryAfter: "Retry-After", Key: "X-Key", Organisation: "X-Organisation",
 }
 
 // backend is a stand-in for a backend server.
@@ -95,6 +95,8 @@
 	server string
 	// suspended returns how long the machines of added nodes were suspended; nil means the real clocks.
 	suspended func() time.Duration
+	// configure, if set, changes added nodes before they start.
+	configure func(n *crforward.Node)
 	nodes     []*node
 }
 
@@ -210,6 +212,9 @@
 		Entrance: entrance, Inbound: inbound, Ready: ready, Control: listener(c.t), ControlHandler: http.NotFoundHandler(),
 		ReadyPath: "/ready", Parse: parse, Log: &crevent.Log{Out: io.Discard}, Suspended: c.suspended,
 	}
+	if c.configure != nil {
+		c.configure(n.Node)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func(process *crforward.Node, done chan struct{}) {
--- a/internal/crforward/ties_test.go
+++ b/internal/crforward/ties_test.go
@@ -44,6 +44,8 @@
 	lastWatch atomic.Pointer[crwire.DocumentWatch]
 	// hints, if set, answers hint reports of nodes.
 	hints func(*crwire.RouteHints) (*crwire.RouteHints, error)
+	// freshness, if set, answers requests for the newest version.
+	freshness func(ctx context.Context) (*crwire.DocumentFreshnessReply, error)
 }
 
 func (c *fakeCoordinator) start(t *testing.T) {
@@ -70,6 +72,11 @@
 			return c.hints(h)
 		})
 	}
+	if c.freshness != nil {
+		crwire.Handle(e.Mux, crcoord.MethodFreshness, func(ctx context.Context, _ *crwire.Session, _ *crwire.DocumentFreshness) (*crwire.DocumentFreshnessReply, error) {
+			return c.freshness(ctx)
+		})
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = e.Serve(ln) })
--- a/pkg/crroute/crroute.go
+++ b/pkg/crroute/crroute.go
@@ -99,6 +99,8 @@
 	byHost   map[string][]*Route
 	services map[string]Service
 	limits   Limits
+	// names holds the names of the routes.
+	names map[string]bool
 	// organisations holds the organisations by name, and byKey by each of their keys.
 	organisations, byKey map[string]*Organisation
 }
@@ -107,7 +109,7 @@
 func New(version uint64, routes []Route, services []Service, limits Limits, organisations ...Organisation) (*Table, error) {
 	t := &Table{
 		version: version, byHost: map[string][]*Route{}, services: map[string]Service{}, limits: limits,
-		organisations: map[string]*Organisation{}, byKey: map[string]*Organisation{},
+		names: map[string]bool{}, organisations: map[string]*Organisation{}, byKey: map[string]*Organisation{},
 	}
 	for _, o := range organisations {
 		if err := t.addOrganisation(&o); err != nil {
@@ -131,6 +133,7 @@
 			}
 		}
 		t.byHost[host] = append(t.byHost[host], &r)
+		t.names[r.Name] = true
 	}
 	for _, list := range t.byHost {
 		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -209,6 +212,9 @@
 	return names
 }
 
+// HasRoute reports whether the table has a route with the name.
+func (t *Table) HasRoute(name string) bool { return t.names[name] }
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
--- a/pkg/crroute/organisation.go
+++ b/pkg/crroute/organisation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 
 	"github.com/citronramp/citronramp/pkg/crcode"
 )
@@ -32,6 +33,10 @@
 	if _, ok := t.organisations[o.Name]; ok || o.Name == "" {
 		return crcode.New(crcode.BadValue, "organisation %q has no name or stands twice", o.Name)
 	}
+	if strings.ContainsFunc(o.Name, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+		// The name is sent to backend servers in a header.
+		return crcode.New(crcode.BadValue, "organisation %q has a control character in its name", o.Name)
+	}
 	if !validRate(o.Quota.Rate) || !validRate(o.Quota.Burst) {
 		return crcode.New(crcode.BadValue, "organisation %q: the rate %v or the burst %v is no number from 0", o.Name, o.Quota.Rate, o.Quota.Burst)
 	}
