--- a/pkg/crroute/crroute.go
+++ b/pkg/crroute/crroute.go
@@ -99,6 +99,8 @@
 	byHost   map[string][]*Route
 	services map[string]Service
 	limits   Limits
+	// names holds the names of the routes.
+	names map[string]bool
 	// organisations holds the organisations by name, and byKey by each of their keys.
 	organisations, byKey map[string]*Organisation
 }
@@ -138,7 +140,7 @@
 func build(version uint64, routes []Route, services []Service, limits Limits, organisations []Organisation) (*Table, []Fault) {
 	t := &Table{
 		version: version, byHost: map[string][]*Route{}, services: map[string]Service{}, limits: limits,
-		organisations: map[string]*Organisation{}, byKey: map[string]*Organisation{},
+		names: map[string]bool{}, organisations: map[string]*Organisation{}, byKey: map[string]*Organisation{},
 	}
 	var faults []Fault
 	record := func(part Part, index int, err error) {
@@ -180,6 +182,7 @@
 		}
 	}
 	t.byHost[host] = append(t.byHost[host], r)
+	t.names[r.Name] = true
 	return nil
 }
 
@@ -254,6 +257,9 @@
 	return names
 }
 
+// HasRoute reports whether the table has a route with the name.
+func (t *Table) HasRoute(name string) bool { return t.names[name] }
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
