crquota, crcoord, crforward: quotas of organisations over all nodes

Cause: an organisation's quota was read from the configuration, but nothing limited its requests.

Change: the leader of the log owns a token bucket for each organisation (pkg/crquota.Owner) and grants tokens, which expire 0.5 s after they were asked for, while it holds its lease. Nodes ask through their coordinator, which merges requests for 20 ms (RPC quota.acquire). The entrance takes a token before admission, and each retry and hedged request takes one. Tokens that reached no server return to the node's wallet. A node without an answer for 1 s spends rate / nodes, which the owner withholds for nodes that do not show that an answer has reached them. It takes effect only where the settings have quota-window and the configuration has an organisation with a quota.

--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -60,6 +60,7 @@
 	replica        *crreplica.Replica
 	directory      *crdirectory.Server
 	peers          peers
+	quotas         quotas
 	confirmedState atomic.Pointer[confirmedState]
 	// confirmation records when this coordinator last confirmed with the leader that its state is current.
 	confirmation crreplica.Confirmation
--- a/internal/crcoord/document.go
+++ b/internal/crcoord/document.go
@@ -53,6 +53,7 @@
 	crwire.Handle(mux, methodRead, func(ctx context.Context, _ *crwire.Session, _ *crwire.DocumentRead) (*crwire.Document, error) {
 		return c.read(ctx)
 	})
+	crwire.Handle(mux, MethodQuota, c.handleQuota)
 	crwire.HandleStream(mux, MethodWatch, c.serveFeed)
 }
 
--- a/internal/crcoord/dump.go
+++ b/internal/crcoord/dump.go
@@ -27,12 +27,15 @@
 }
 
 func (c *Coordinator) gauges() {
-	c.Counters.Declare("hello_failed", "inner_refused")
+	c.Counters.Declare("hello_failed", "inner_refused", "quota_messages", "quota_unanswered")
 	c.Counters.Gauge("log_term", func() any { return c.replica.Status().Term })
 	c.Counters.Gauge("log_applied", func() any { return c.replica.Status().StateApplied })
 	c.Counters.Gauge("leads", func() any { return c.replica.Status().Leads })
 	c.Counters.Gauge("members", func() any { return len(c.replica.Status().Members) })
 	c.Counters.Gauge("config_version", func() any { return c.version() })
+	c.Counters.Gauge("quota_nodes", func() any { n, _, _ := c.quotas.counts(); return n })
+	c.Counters.Gauge("quota_organisations", func() any { _, n, _ := c.quotas.counts(); return n })
+	c.Counters.Gauge("quota_withheld", func() any { _, _, f := c.quotas.counts(); return f })
 	c.Counters.Gauge("directory_entries", func() any { return c.directory.Status().Entries })
 }
 
--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -45,6 +45,8 @@
 	MemberChange     Event = "member_change"
 	PressureChanged  Event = "pressure_changed"
 	CostLearned      Event = "cost_learned"
+	QuotaReached     Event = "quota_reached"
+	QuotaFree        Event = "quota_free"
 )
 
 // Keys of the values of a log line.
@@ -86,4 +88,7 @@
 	KeyAddress     = "address"
 	KeyDetail      = "detail"
 	KeyCost        = "cost_ms"
+	// KeyOrganisation is the name of an organisation, never one of its keys.
+	KeyOrganisation = "organisation"
+	KeyRate         = "rate"
 )
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -64,6 +64,8 @@
 	Heartbeat time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// Quota holds the bounds on the quotas of organisations.
+	Quota QuotaBounds
 	// StopTimeout is the time from the stop signal until the process is killed.
 	StopTimeout time.Duration
 }
@@ -99,6 +101,7 @@
 	suspects     suspects
 	departures   departures
 	peers        peerClients
+	quotas       quotas
 	bodyBudget   bodyBudget
 	board        crshed.PressureTable
 	shares       crshed.Admitter
@@ -157,6 +160,9 @@
 	n.wg.Go(func() { n.follow(tasks, secondaryLink) })
 	n.wg.Go(func() { n.gate.watchReports(tasks) })
 	n.wg.Go(func() { n.sampleLoad(tasks) })
+	if n.quotasEnforced() {
+		n.wg.Go(func() { n.acquireQuotas(tasks) })
+	}
 	n.wg.Go(func() {
 		cradmin.WatchSuspensions(tasks, &n.Counters, func(slept time.Duration) {
 			n.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept)
@@ -199,6 +205,7 @@
 	n.gate = newGate(n)
 	n.coordinators.configure(n.Settings.Seeds)
 	n.declareMetrics()
+	n.prepareQuotas()
 	n.directory.Watch(nil, []string{n.departureTopic()})
 	n.announce()
 }
--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -60,6 +60,12 @@
 	// The deadline of a pipelined request counts from its arrival, not from the end of the requests before it.
 	c := n.newCall(req, route, crpipeline.ArrivalTime(req.Context(), now))
 	c.setOrganisation(organisation)
+	if refused := n.takeQuota(req.Context(), c, organisation, table.Version()); refused != nil {
+		n.abandonBody(w, c)
+		n.reject(w, c, refused, n.retryAfter(now, c, refused))
+		return
+	}
+	defer n.returnQuota(c)
 	n.serveCall(w, req, c, route, now)
 }
 
@@ -221,11 +227,14 @@
 
 // retryAfter returns when a refused client should retry: early enough for an answer by the target latency, not before
 // the queue that refused the request has drained, and within a third of its remaining time. For a quarantined request
-// it is the remaining time of the quarantine.
+// it is the remaining time of the quarantine, and for one over the quota the time until tokens return.
 func (n *Node) retryAfter(now time.Time, c *call, r *reply) time.Duration {
 	if r.code == crcode.Quarantined {
 		return n.suspects.blockedFor(now, c.fingerprints)
 	}
+	if r.code == crcode.QuotaExceeded {
+		return r.retryAfter
+	}
 	spare := c.due.Sub(now) - n.services.get(c.service).meanLatency(c.route)
 	d := max(crshed.RetryDelay(spare, jitter), min(r.retryAfter, maxQueueRetryAfter))
 	if left := c.deadline.Sub(now); left > 0 {
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -28,7 +28,7 @@
 
 var headerNames = crforward.Headers{
 	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not-Run",
-	RetryAfter: "Retry-After",
+	RetryAfter: "Retry-After", Key: "X-Key", Organisation: "X-Organisation",
 }
 
 // backend is a stand-in for a backend server.
@@ -95,7 +95,10 @@
 	server string
 	// suspended returns how long the machines of added nodes were suspended; nil means the real clocks.
 	suspended func() time.Duration
-	nodes     []*node
+	// organisations and quota apply to added nodes.
+	organisations func(version uint64) []crroute.Organisation
+	quota         crforward.QuotaBounds
+	nodes         []*node
 }
 
 func newCluster(t testing.TB) *cluster {
@@ -151,12 +154,17 @@
 }
 
 // parse decodes a configuration that is a JSON list of routes.
-func parse(d *crwire.Document) (*crroute.Table, error) {
+func (c *cluster) parse(d *crwire.Document) (*crroute.Table, error) {
 	var routes []crroute.Route
 	if err := json.Unmarshal(d.GetBody(), &routes); err != nil {
 		return nil, err
 	}
-	return crroute.New(d.GetVersion(), routes, []crroute.Service{{Name: "ledger"}, {Name: "photos"}, {Name: "books"}, {Name: "shelves"}}, crroute.Limits{BodyBytes: 1 << 20})
+	var organisations []crroute.Organisation
+	if c.organisations != nil {
+		organisations = c.organisations(d.GetVersion())
+	}
+	services := []crroute.Service{{Name: "ledger"}, {Name: "photos"}, {Name: "books"}, {Name: "shelves"}}
+	return crroute.New(d.GetVersion(), routes, services, crroute.Limits{BodyBytes: 1 << 20}, organisations...)
 }
 
 func newRoute(prefix, service string, kind crroute.Kind) crroute.Route {
@@ -205,10 +213,10 @@
 		Settings: crforward.Settings{
 			Name: "n" + n.backend.id, Domain: "a", Service: service, ServerAddress: server, Address: inbound.Addr().String(),
 			Seeds: append(slices.Clone(c.moreSeeds), c.seed), Headers: headerNames, RetryRatio: 0.2,
-			Heartbeat: time.Minute, MemoryBytes: 256 << 20, StopTimeout: 3 * time.Second,
+			Heartbeat: time.Minute, MemoryBytes: 256 << 20, StopTimeout: 3 * time.Second, Quota: c.quota,
 		},
 		Entrance: entrance, Inbound: inbound, Ready: ready, Control: listener(c.t), ControlHandler: http.NotFoundHandler(),
-		ReadyPath: "/ready", Parse: parse, Log: &crevent.Log{Out: io.Discard}, Suspended: c.suspended,
+		ReadyPath: "/ready", Parse: c.parse, Log: &crevent.Log{Out: io.Discard}, Suspended: c.suspended,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -121,7 +121,9 @@
 // send sends the call to one server and records the latency, load and cost from its answer.
 func (p *placement) send(ctx context.Context, c *call, server crrouter.Server) *reply {
 	n, s, now := p.node, p.service, time.Now()
+	tokenDone := c.quota.attempt()
 	r := n.sendToGate(ctx, s.address(server.ID), c)
+	tokenDone(reachedServer(r))
 	c.countedAsDemand = c.countedAsDemand || countsAsDemand(r)
 	took := time.Since(now)
 	n.logEjection(s, server.ID, r, s.router.Done(time.Now(), server.ID, routerResult(r, took, s.meanLatency(c.route))))
@@ -199,7 +201,7 @@
 // hedge sends a copy of the call to a second server. It returns nil if the copy was not sent.
 func (p *placement) hedge(ctx context.Context, c *call) *reply {
 	now := time.Now()
-	if ctx.Err() != nil || !c.rewind() || !p.budget.Allow(now) {
+	if ctx.Err() != nil || !c.rewind() || !c.quota.reserve() || !p.budget.Allow(now) {
 		return nil
 	}
 	server, err := p.pick(now, false)
@@ -258,6 +260,9 @@
 	case sent >= p.route.MaxAttempts:
 		return false
 	}
+	if !c.quota.reserve() {
+		return false
+	}
 	if !p.budget.Allow(now) {
 		p.node.Counters.Add("retries_denied", 1)
 		return false
--- /dev/null
+++ b/pkg/crquota/wallet.go
@@ -0,0 +1,366 @@
+package crquota
+
+import (
+	"math"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Parameters of a wallet.
+const (
+	// horizon is the time for which a node asks for tokens in advance. It covers several messages, so that one may be late.
+	horizon = 250 * time.Millisecond
+	// keepAlive is the interval of messages without demands. It is a third of silentAfter, so that one may be lost.
+	keepAlive = 250 * time.Millisecond
+	// maxPending bounds the requests without an answer; an older one is given up by its sender before its tokens expire.
+	maxPending = 4
+	// fastMemory and slowMemory are the time constants of the two estimates of an organisation's demand. The fast one decides
+	// how many tokens a busy organisation needs, the slow one which organisations hold a token while their balance is plentiful.
+	fastMemory = 500 * time.Millisecond
+	slowMemory = 10 * time.Second
+	// minSlowRate is the rate, in requests per second, below which no token is held in advance.
+	minSlowRate = 0.05
+	// minExpected is the number of requests expected within the horizon from which tokens are asked for in advance from a
+	// balance that is not plentiful: with fewer, more tokens would expire than be spent.
+	minExpected = 1.0
+	// askBelow is the part of the expected need below which the tokens held have to fall before more are asked for.
+	askBelow = 0.6
+	// staticLifetime is how long a token of the static share can be spent. It is short because all nodes may be out of contact.
+	staticLifetime = 200 * time.Millisecond
+	// staticPart is the part of the static share that is spent. The tokens of the nodes come at independent times, and with
+	// the rest the number in a window stays below the limit.
+	staticPart = 0.95
+)
+
+// Verdict says what happens to a request that needs a token.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Granted means that a token was taken.
+	Granted Verdict = iota
+	// Wait means that the request has to wait for an answer of the owner.
+	Wait
+	// Refused means that the quota is used up.
+	Refused
+)
+
+// Decision is the verdict on a request. Expires is the time until which a granted token can be returned and spent by another
+// request; RetryAfter is the time until tokens return. Static is set if the decision rests on the static share.
+type Decision struct {
+	Verdict    Verdict
+	Expires    time.Time
+	RetryAfter time.Duration
+	Static     bool
+}
+
+// Wallet holds the tokens of one node. Set the exported fields before the first use. It is not safe for concurrent use.
+type Wallet struct {
+	// Lifetime is the time after the request for them at which tokens expire.
+	Lifetime time.Duration
+	// Random returns a number in [0, 1).
+	Random func() float64
+
+	accounts *simplelru.LRU[string, *account]
+	// active holds the accounts with recent demand.
+	active map[string]*account
+	// contact holds what the last answer said; answeredAt is when it arrived.
+	contact    Contact
+	answeredAt time.Time
+	sentAt     time.Time
+	pending    int
+}
+
+// lot is a number of tokens that expire at the same time.
+type lot struct {
+	count   uint32
+	expires time.Time
+}
+
+// account is the state of one organisation.
+type account struct {
+	limit Limit
+	// lots are in the order of their expiry.
+	lots       []lot
+	fast, slow decayingRate
+	// waiting counts the requests that wait for a token, pending the tokens that were asked for without an answer yet.
+	waiting int
+	pending uint32
+	plenty  bool
+	// refuseUntil is the time until which the balance counts as empty, retryAt the time at which tokens return.
+	refuseUntil, retryAt time.Time
+	static               staticShare
+}
+
+func (w *Wallet) account(org string, l Limit) *account {
+	if w.accounts == nil {
+		w.active = map[string]*account{}
+		// The size is a positive constant, which is the only condition.
+		w.accounts, _ = simplelru.NewLRU(maxAccounts, func(org string, _ *account) { delete(w.active, org) })
+	}
+	a, ok := w.accounts.Get(org)
+	if !ok {
+		a = &account{fast: decayingRate{memory: fastMemory}, slow: decayingRate{memory: slowMemory}, plenty: true}
+		w.accounts.Add(org, a)
+	}
+	if l.Version >= a.limit.Version {
+		a.limit = l
+	}
+	w.active[org] = a
+	return a
+}
+
+// Take takes a token for a new request.
+func (w *Wallet) Take(now time.Time, org string, l Limit) Decision {
+	a := w.account(org, l)
+	a.fast.add(now)
+	a.slow.add(now)
+	if expires, ok := a.spend(now); ok {
+		return Decision{Expires: expires}
+	}
+	if w.static(now) {
+		return a.spendStatic(now, w.answeredAt.Add(staticAfter), w.contact.Nodes, w.Random)
+	}
+	if now.Before(a.refuseUntil) {
+		return Decision{Verdict: Refused, RetryAfter: max(a.retryAt.Sub(now), MinWait)}
+	}
+	return Decision{Verdict: Wait}
+}
+
+// Spend takes a token for a request that waits; it reports false if there is none.
+func (w *Wallet) Spend(now time.Time, org string) (expires time.Time, ok bool) {
+	if a, known := w.peek(org); known {
+		return a.spend(now)
+	}
+	return time.Time{}, false
+}
+
+// Return gives a token back that was not used; it is spent by another request unless it has expired.
+func (w *Wallet) Return(now time.Time, org string, expires time.Time) {
+	if a, ok := w.peek(org); ok && now.Before(expires) {
+		a.add(lot{1, expires})
+	}
+}
+
+// AddWaiting changes the number of requests that wait for a token of an organisation.
+func (w *Wallet) AddWaiting(org string, n int) {
+	if a, ok := w.peek(org); ok {
+		a.waiting = max(0, a.waiting+n)
+	}
+}
+
+// RetryAfter returns the time until tokens return, for a request that waited in vain.
+func (w *Wallet) RetryAfter(now time.Time, org string) time.Duration {
+	if a, ok := w.peek(org); ok {
+		return min(max(a.retryAt.Sub(now), MinWait), maxWait)
+	}
+	return MinWait
+}
+
+// Exhausted reports whether the last answer said that the balance of an organisation is empty.
+func (w *Wallet) Exhausted(now time.Time, org string) bool {
+	a, ok := w.peek(org)
+	return ok && now.Before(a.refuseUntil)
+}
+
+func (w *Wallet) peek(org string) (*account, bool) {
+	if w.accounts == nil {
+		return nil, false
+	}
+	return w.accounts.Peek(org)
+}
+
+// static reports whether the node spends its static share: it was told one, and had no answer since.
+func (w *Wallet) static(now time.Time) bool {
+	return !w.answeredAt.IsZero() && now.Sub(w.answeredAt) >= staticAfter
+}
+
+// Static reports whether the node is out of contact and spends its static share.
+func (w *Wallet) Static(now time.Time) bool { return w.static(now) }
+
+// Ask returns the request to send now, and false if none is due. It is due when requests wait, when tokens run low, or when the
+// owner has not heard of the node for some time. Answer or Failed must be called with it later.
+func (w *Wallet) Ask(now time.Time) (Request, bool) {
+	if w.pending >= maxPending || now.Sub(w.sentAt) < MinWait {
+		return Request{}, false
+	}
+	r := Request{Contacts: []Contact{w.contact}}
+	due := now.Sub(w.sentAt) >= keepAlive
+	for org, a := range w.active {
+		need, urgent := a.need(now)
+		if need > 0 {
+			r.Demands = append(r.Demands, Demand{Organisation: org, Need: need, Limit: a.limit})
+		}
+		due = due || urgent
+		if a.idle(now) {
+			delete(w.active, org)
+		}
+	}
+	if !due {
+		return Request{}, false
+	}
+	for _, d := range r.Demands {
+		if a, ok := w.peek(d.Organisation); ok {
+			a.pending += d.Need
+		}
+	}
+	w.sentAt = now
+	w.pending++
+	return r, true
+}
+
+// Answer stores the tokens of an answer to a request that was sent at the given time.
+func (w *Wallet) Answer(now, sent time.Time, req Request, r Reply) {
+	w.settle(req)
+	if r.Term > w.contact.Term || r.Term == w.contact.Term && r.Stamp >= w.contact.Stamp {
+		w.contact.Term, w.contact.Stamp, w.contact.Nodes = r.Term, r.Stamp, r.Nodes
+	}
+	w.answeredAt = now
+	for _, g := range r.Grants {
+		a, ok := w.peek(g.Organisation)
+		if !ok {
+			continue
+		}
+		a.plenty = g.Plenty
+		if expires := sent.Add(w.Lifetime); g.Granted > 0 && now.Before(expires) {
+			a.add(lot{g.Granted, expires})
+		}
+		if g.Wait > 0 {
+			a.refuseUntil, a.retryAt = now.Add(MinWait), now.Add(g.Wait)
+		} else {
+			a.refuseUntil = time.Time{}
+		}
+	}
+}
+
+// Failed ends a request that got no answer.
+func (w *Wallet) Failed(req Request) { w.settle(req) }
+
+func (w *Wallet) settle(req Request) {
+	w.pending--
+	for _, d := range req.Demands {
+		if a, ok := w.peek(d.Organisation); ok {
+			a.pending -= min(a.pending, d.Need)
+		}
+	}
+}
+
+// need returns the number of tokens to ask for, and whether they are needed at once.
+func (a *account) need(now time.Time) (need uint32, urgent bool) {
+	expected := a.fast.perSecond(now) * horizon.Seconds()
+	slow := a.slow.perSecond(now)
+	switch {
+	case a.plenty && slow >= minSlowRate:
+		// Tokens that are not spent cost nothing, so that there are enough for arrivals at random times.
+		expected = max(expected, slow*horizon.Seconds())
+		expected = max(expected+math.Sqrt(expected), 1)
+	case expected < minExpected:
+		expected = 0
+	}
+	held := float64(a.held(now.Add(MinWait)) + a.pending)
+	want := float64(a.waiting) + expected
+	if want <= held {
+		return 0, false
+	}
+	return uint32(min(math.Ceil(want-held), maxNeed)), a.waiting > int(held) || held < askBelow*expected
+}
+
+func (a *account) idle(now time.Time) bool {
+	return a.waiting == 0 && a.pending == 0 && a.slow.perSecond(now) < minSlowRate && a.fast.perSecond(now)*horizon.Seconds() < minExpected
+}
+
+// held returns the number of tokens that can still be spent at a time.
+func (a *account) held(at time.Time) (n uint32) {
+	for _, l := range a.lots {
+		if at.Before(l.expires) {
+			n += l.count
+		}
+	}
+	return n
+}
+
+// add stores tokens in the order of their expiry.
+func (a *account) add(l lot) {
+	i := len(a.lots)
+	for i > 0 && l.expires.Before(a.lots[i-1].expires) {
+		i--
+	}
+	if i > 0 && a.lots[i-1].expires.Equal(l.expires) {
+		a.lots[i-1].count += l.count
+		return
+	}
+	a.lots = append(a.lots, lot{})
+	copy(a.lots[i+1:], a.lots[i:])
+	a.lots[i] = l
+}
+
+// spend takes the token that expires first.
+func (a *account) spend(now time.Time) (expires time.Time, ok bool) {
+	for len(a.lots) > 0 && (a.lots[0].count == 0 || !now.Before(a.lots[0].expires)) {
+		a.lots = a.lots[1:]
+	}
+	if len(a.lots) == 0 {
+		a.lots = nil
+		return time.Time{}, false
+	}
+	a.lots[0].count--
+	return a.lots[0].expires, true
+}
+
+// spendStatic takes a token of the static share, which begins at the given time. The tokens come at the rate of the share from
+// a random phase on, and each can be spent for staticLifetime only, so that those of many nodes do not come together.
+func (a *account) spendStatic(now, begin time.Time, nodes uint32, random func() float64) Decision {
+	s := &a.static
+	rate, _ := a.limit.bucket()
+	rate *= staticPart / float64(max(nodes, 1))
+	if !s.begin.Equal(begin) || s.rate != rate {
+		*s = staticShare{begin: begin, rate: rate, phase: random()}
+		s.spent = s.count(now.Add(-staticLifetime))
+	}
+	s.spent = max(s.spent, s.count(now.Add(-staticLifetime)))
+	if s.spent < s.count(now) {
+		s.spent++
+		return Decision{Expires: now.Add(staticLifetime), Static: true}
+	}
+	next := s.begin.Add(time.Duration((s.spent + 1 - s.phase) / s.rate * float64(time.Second)))
+	return Decision{Verdict: Refused, RetryAfter: min(max(next.Sub(now), MinWait), maxWait), Static: true}
+}
+
+// staticShare counts the tokens of a static share.
+type staticShare struct {
+	begin time.Time
+	// rate is in tokens per second; phase is the part of the first token that is there at the beginning.
+	rate, phase, spent float64
+}
+
+// count returns the number of tokens that have come up to a time.
+func (s *staticShare) count(at time.Time) float64 {
+	return math.Floor(max(0, at.Sub(s.begin).Seconds())*s.rate + s.phase)
+}
+
+// decayingRate estimates the rate of events by their number, which decays with a time constant.
+type decayingRate struct {
+	memory time.Duration
+	count  float64
+	at     time.Time
+}
+
+func (r *decayingRate) add(now time.Time) {
+	r.decay(now)
+	r.count++
+}
+
+func (r *decayingRate) decay(now time.Time) {
+	if now.After(r.at) {
+		if !r.at.IsZero() {
+			r.count *= math.Exp(-now.Sub(r.at).Seconds() / r.memory.Seconds())
+		}
+		r.at = now
+	}
+}
+
+func (r *decayingRate) perSecond(now time.Time) float64 {
+	r.decay(now)
+	return r.count / r.memory.Seconds()
+}
--- a/pkg/crroute/crroute.go
+++ b/pkg/crroute/crroute.go
@@ -101,6 +101,8 @@
 	limits   Limits
 	// organisations holds the organisations by name, and byKey by each of their keys.
 	organisations, byKey map[string]*Organisation
+	// quotas is set if an organisation has a quota.
+	quotas bool
 }
 
 // New returns a table, or a BadValue error that names the first invalid value.
--- a/pkg/crroute/organisation.go
+++ b/pkg/crroute/organisation.go
@@ -36,6 +36,7 @@
 		return crcode.New(crcode.BadValue, "organisation %q: the rate %v or the burst %v is no number from 0", o.Name, o.Quota.Rate, o.Quota.Burst)
 	}
 	t.organisations[o.Name] = o
+	t.quotas = t.quotas || o.Quota.Limited()
 	for _, k := range o.Keys {
 		if k == "" {
 			return crcode.New(crcode.BadValue, "organisation %q has an empty key", o.Name)
@@ -56,5 +57,8 @@
 // OrganisationNamed returns the organisation with the name, or nil.
 func (t *Table) OrganisationNamed(name string) *Organisation { return t.organisations[name] }
 
+// HasQuotas reports whether an organisation has a quota.
+func (t *Table) HasQuotas() bool { return t.quotas }
+
 // HasOrganisations reports whether requests need the key of an organisation, except on anonymous routes.
 func (t *Table) HasOrganisations() bool { return len(t.organisations) > 0 }
