--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -69,6 +69,8 @@
 	RevokeWithin time.Duration
 	// ConfigApply is the age of the configuration from which an unknown key may be a new one; 0 means never.
 	ConfigApply time.Duration
+	// Quota holds the bounds on the quotas of organisations.
+	Quota QuotaBounds
 	// StopTimeout is the time from the stop signal until the process is killed.
 	StopTimeout time.Duration
 }
@@ -107,6 +109,7 @@
 	suspects     suspects
 	departures   departures
 	peers        peerClients
+	quotas       quotas
 	bodyBudget   bodyBudget
 	board        crshed.PressureTable
 	shares       crshed.Admitter
@@ -166,6 +169,9 @@
 	n.wg.Go(func() { n.gate.watchReports(tasks) })
 	n.wg.Go(func() { n.sampleLoad(tasks) })
 	n.wg.Go(func() { n.watchFreshness(tasks) })
+	if n.quotasEnforced() {
+		n.wg.Go(func() { n.acquireQuotas(tasks) })
+	}
 	n.wg.Go(func() {
 		cradmin.WatchSuspensions(tasks, &n.Counters, func(slept time.Duration) {
 			n.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept)
@@ -211,6 +217,7 @@
 	n.gate = newGate(n)
 	n.coordinators.configure(n.Settings.Seeds)
 	n.declareMetrics()
+	n.prepareQuotas()
 	n.directory.Watch(nil, []string{n.departureTopic()})
 	n.announce()
 }
