--- a/internal/crforward/entrance.go
+++ b/internal/crforward/entrance.go
@@ -59,7 +59,7 @@
 	}
 	// The deadline of a pipelined request counts from its arrival, not from the end of the requests before it.
 	c := n.newCall(req, route, crpipeline.ArrivalTime(req.Context(), now))
-	c.setOrganisation(organisation)
+	c.setOrganisation(table, route, organisation)
 	if refused := n.takeQuota(req.Context(), c, organisation, table.Version()); refused != nil {
 		n.abandonBody(w, c)
 		n.reject(w, c, refused, n.retryAfter(now, c, refused))
--- a/internal/crforward/identity.go
+++ b/internal/crforward/identity.go
@@ -134,15 +134,12 @@
 	}
 }
 
-// setOrganisation records the organisation of the call, whose priority takes precedence over that of the route.
-func (c *call) setOrganisation(o *crroute.Organisation) {
-	if o == nil {
-		return
-	}
-	c.organisation = o.Name
-	if o.Priority != nil {
-		c.setPriority(*o.Priority)
+// setOrganisation records the organisation of the call, which may be nil, and the rank of its requests.
+func (c *call) setOrganisation(table *crroute.Table, route *crroute.Route, o *crroute.Organisation) {
+	if o != nil {
+		c.organisation = o.Name
 	}
+	c.setPriority(table.Rank(route, o))
 }
 
 // setPriority sets the rank of the call; a smaller number is more important.
--- a/pkg/crroute/crroute_test.go
+++ b/pkg/crroute/crroute_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,3 +77,21 @@
 	qt.Assert(t, r.Service(0.9), qt.Equals, "photos")
 	qt.Assert(t, r.Service(0.8999), qt.Equals, "ledger")
 }
+
+// TestRank guards against routes of one organisation that are not told apart, and against an organisation's priority that does not
+// go before that of a route.
+func TestRank(t *testing.T) {
+	first, second := 0, 1
+	urgent, usual := crroute.Route{Priority: 0}, crroute.Route{Priority: 2}
+	important, other := &crroute.Organisation{Name: "a", Priority: &first}, &crroute.Organisation{Name: "b", Priority: &second}
+	plain, err := crroute.New(1, nil, nil, crroute.Limits{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, plain.Rank(&usual, nil), qt.Equals, 2)
+	table, err := crroute.New(1, nil, nil, crroute.Limits{}, *important, *other)
+	qt.Assert(t, err, qt.IsNil)
+	ranks := []int{table.Rank(&urgent, important), table.Rank(&usual, important), table.Rank(&urgent, other), table.Rank(&usual, other), table.Rank(&usual, nil)}
+	qt.Assert(t, slices.IsSorted(ranks), qt.IsTrue, qt.Commentf("%v", ranks))
+	qt.Assert(t, slices.Compact(slices.Clone(ranks)), qt.HasLen, len(ranks), qt.Commentf("%v", ranks))
+	extreme, large := crroute.Route{Priority: 1 << 40}, -5
+	qt.Assert(t, table.Rank(&extreme, &crroute.Organisation{Priority: &large}) < 1<<16, qt.IsTrue)
+}
--- a/pkg/crroute/organisation.go
+++ b/pkg/crroute/organisation.go
@@ -67,3 +67,22 @@
 
 // HasOrganisations reports whether requests need the key of an organisation, except on anonymous routes.
 func (t *Table) HasOrganisations() bool { return len(t.organisations) > 0 }
+
+// ranksPerPriority is the number of route priorities that are told apart within one priority of an organisation.
+const ranksPerPriority = 256
+
+// Rank returns the rank of a request of the route; 0 is the most important. The priority of the organisation, which may be nil,
+// goes first, and that of the route orders requests of equal ones: otherwise an organisation's cheap urgent requests would be
+// refused together with its long ones. Without organisations the rank is the priority of the route.
+func (t *Table) Rank(r *Route, o *Organisation) int {
+	if !t.HasOrganisations() {
+		return r.Priority
+	}
+	first := r.Priority
+	if o != nil && o.Priority != nil {
+		first = *o.Priority
+	}
+	return clampPriority(first)*ranksPerPriority + clampPriority(r.Priority)
+}
+
+func clampPriority(p int) int { return min(max(p, 0), ranksPerPriority-1) }
