crrouter, crspeed: servers are scored by expected completion time

Cause: the router compared servers by load/slots only, so that servers of speed 0.6 and 1.4 held the same number of calls, a server that a neighbour slows 2.5 times kept its share, and a server that refuses 55% got as much as one that refuses nothing; a refusal counted as a failure, and ejection takes out half of the servers at most. Change: the gate measures run times by route against the work that the server's load header says it can do, and reports them with the present slowness and the share that the server does not refuse, in a header of its own between nodes. Callers compare the servers of a service by route. The router's score is the expected completion time: load and queue over speed times acceptance; crossing a failure domain costs its round trip. Servers without a difference keep the order by load.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -12,6 +12,7 @@
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // call is one request to a backend server.
@@ -90,6 +91,8 @@
 	// buffered is set if body holds the complete answer in memory.
 	buffered bool
 	load     *crrouter.Feedback
+	// speed is nil if the gate does not report it.
+	speed *crspeed.Report
 	// retryAfter is when the gate expects to have capacity again; waited is the time in the gate's queue, took the
 	// time at the server.
 	retryAfter   time.Duration
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -38,6 +38,8 @@
 	NotRun string
 	// RetryAfter is the header that says when a refused client should retry, in seconds.
 	RetryAfter string
+	// Load is the header in which servers report their load. Without a name loads are not read.
+	Load string
 	// Key is the header with the key of the client's organisation. It is removed at the entrance.
 	Key string
 	// Organisation is the header that names the organisation to backend servers. The entrance sets it.
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -13,6 +13,7 @@
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // Timings and limits of a gate.
@@ -50,6 +51,8 @@
 	downUntil     time.Time
 	reportsMissed bool
 	regulator     *crshed.Regulator
+	// speed estimates how fast the server works.
+	speed *crspeed.Estimator
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots   crshed.RootRates
 	origins originClassifier
@@ -115,6 +118,7 @@
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
+	g.speed = &crspeed.Estimator{}
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -209,6 +213,7 @@
 	lifetime *lifetime
 	client   *crexchange.Client
 	limiter  *crlimiter.Limiter
+	speed    *crspeed.Estimator
 	tracked  trackedRun
 }
 
@@ -268,7 +273,7 @@
 		g.mu.Unlock()
 		return grant{}, code
 	}
-	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter}
+	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter, speed: g.speed}
 	expectedRun := g.limiter.RunTime(c.route)
 	if !c.countedAsDemand {
 		c.countedAsDemand = true
@@ -400,7 +405,8 @@
 	if code != crcode.OK {
 		r := failureReply(code, "")
 		r.origin = c.origin
-		r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+		r.waited = waited
+		g.report(time.Now(), c, r)
 		r.retryAfter = g.queueDrainTime()
 		return r
 	}
@@ -414,7 +420,8 @@
 	r.downstreamFailed = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.RunEnded(c.route, r.took, succeeded(r))
 	r.origin = c.origin
-	r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+	r.waited = waited
+	g.report(time.Now(), c, r)
 	return r
 }
 
--- a/internal/crforward/headers.go
+++ b/internal/crforward/headers.go
@@ -22,7 +22,7 @@
 func forwardedHeader(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for k, v := range h {
-		if k != hopHeader && k != suspectHeader && k != ratesHeader {
+		if k != hopHeader && k != suspectHeader && k != ratesHeader && k != speedHeader {
 			out[k] = v
 		}
 	}
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -87,6 +87,7 @@
 		return failureReply(crcode.AnswerLost, err.Error())
 	}
 	n.mergeSuspectHeader(c, resp.Header)
+	n.readSpeed(resp.Header, r)
 	if r.code != crcode.OK {
 		detail, err := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
 		if err == nil {
@@ -185,6 +186,9 @@
 	defer r.release()
 	h := w.Header()
 	h.Set(hopHeader, n.formatAnswer(c, r, time.Now()))
+	if r.speed != nil {
+		h.Set(speedHeader, formatSpeed(r.speed))
+	}
 	if known := n.suspects.header(time.Now(), c.fingerprints); known != "" {
 		h.Set(suspectHeader, known)
 	}
--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -124,6 +124,7 @@
 	r := n.sendToGate(ctx, s.address(server.ID), c)
 	c.countedAsDemand = c.countedAsDemand || countsAsDemand(r)
 	took := time.Since(now)
+	s.recordSpeed(server.ID, c, r)
 	n.logEjection(s, server.ID, r, s.router.Done(time.Now(), server.ID, routerResult(r, took, s.meanLatency(c.route))))
 	if succeeded(r) {
 		s.recordLatency(c.route, took)
@@ -300,6 +301,8 @@
 		res.Outcome = crrouter.Cancelled
 	case r.code == crcode.NoServer || r.code == crcode.StaleIncarnation:
 		res.Outcome = crrouter.Unreachable
+	case r.code == crcode.ServerRefused && r.speed != nil && r.speed.Acceptance >= refusingAcceptance:
+		res.Outcome = crrouter.Refused
 	case r.code == crcode.ServerRefused:
 		// The gate never exceeds the server's slots, so a server that refuses is at fault.
 		res.Outcome = crrouter.Failed
--- a/internal/crforward/run.go
+++ b/internal/crforward/run.go
@@ -26,6 +26,7 @@
 		work = context.WithoutCancel(ctx)
 	}
 	work, cancel := context.WithTimeout(work, left+serverAnswerSlack)
+	begin := gr.speed.Begin(started)
 	resp, err := gr.client.Do(work, g.request(c, gr, left))
 	if err != nil {
 		cancel()
@@ -38,7 +39,9 @@
 		r.took = time.Since(started)
 		g.release(gr, crlimiter.Sample{Kind: c.route, Latency: r.took, Queued: waited, Result: result})
 	}
-	if resp.Header.Get(g.node.Settings.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+	notRun := resp.Header.Get(g.node.Settings.Headers.NotRun) != ""
+	g.recordAnswer(time.Now(), gr, resp.Header, notRun)
+	if notRun || resp.Status == http.StatusMisdirectedRequest {
 		if resp.Status == http.StatusMisdirectedRequest {
 			g.markDown(gr, started.Add(g.node.Settings.Heartbeat))
 		}
@@ -65,6 +68,9 @@
 	if buffered {
 		r.length = length
 		gr.tracked.finished(time.Now())
+		if limiterResult(resp.Status) == crlimiter.Success {
+			gr.speed.End(time.Now(), c.route, begin)
+		}
 		finish(limiterResult(resp.Status))
 		return r
 	}
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -11,6 +11,7 @@
 	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // Parameters of the retry budgets.
@@ -38,6 +39,7 @@
 	instances map[string]instance
 	// latencies holds the mean time of successful answers by route, in seconds.
 	latencies map[string]float64
+	speeds    crspeed.Comparison
 }
 
 // instance is a lifetime of a server and when this node first saw it.
@@ -139,6 +141,7 @@
 	s := n.services.get(name)
 	servers := s.update(now, entries)
 	s.router.Update(now, servers)
+	s.speeds.Keep(func(node string) bool { return s.address(node) != "" })
 	n.services.updateServerCounts()
 	n.peers.closeUnknown(n.services.gateAddresses())
 	n.Log.Emit(now, crevent.State, crevent.ServersChanged, crevent.KeyService, name, crevent.KeyCount, len(servers), crevent.KeyOf, len(entries))
--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -1,6 +1,6 @@
-// Package crrouter selects among the known servers of one service: power of two choices by load, preference for the
-// own failure domain, slow start, ejection with probing, and admission levels per server. It has no clock and no
-// goroutine and is safe for concurrent use.
+// Package crrouter selects among the known servers of one service: power of two choices by expected completion time,
+// preference for the own failure domain, slow start, ejection with probing, and admission levels per server. It has no
+// clock and no goroutine and is safe for concurrent use.
 package crrouter
 
 import (
@@ -68,12 +68,17 @@
 }
 
 // Feedback is the load reported with an answer. Limit zero means unknown. Level zero means that the server admits all
-// priorities.
+// priorities. Speed is the lasting speed of the server relative to the others of its service, Slowness the factor by
+// which its work takes longer at present, and Acceptance the share of the requests sent to the server that it does not
+// refuse; zero means unknown and counts as 1.
 type Feedback struct {
-	InFlight int
-	Limit    int
-	Queued   int
-	Level    cradmission.Priority
+	InFlight   int
+	Limit      int
+	Queued     int
+	Level      cradmission.Priority
+	Speed      float64
+	Slowness   float64
+	Acceptance float64
 }
 
 // Router selects servers of one service for one calling node. The exported fields are set before use.
@@ -85,6 +90,8 @@
 
 	mu      sync.Mutex
 	servers []*server
+	// unevenUntil is until when a server may have a speed or acceptance other than 1.
+	unevenUntil time.Time
 }
 
 // Update replaces the known servers and keeps the measurements of those that remain.
@@ -178,6 +185,9 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	if res.Feedback != nil {
 		s.feedback, s.feedbackAt = *res.Feedback, now
+		if s.pace(now) != 1 {
+			r.unevenUntil = now.Add(speedExpiry)
+		}
 	}
 	r.recordResult(now, s, res)
 	return EjectionChange{Ejected: s.ejected && !was, Returned: was && !s.ejected, ErrorRate: s.errorRate, Failures: s.failures}
@@ -209,6 +219,9 @@
 	Latency   time.Duration
 	ErrorRate float64
 	Level     cradmission.Priority
+	// Speed, Slowness and Acceptance are what the gate of the server reported. Factor is the product of warmth, speed and
+	// acceptance by which the router weights the server.
+	Speed, Slowness, Acceptance, Factor float64
 }
 
 // View returns the state of all known servers.
@@ -217,7 +230,10 @@
 	defer r.mu.Unlock()
 	out := make([]View, 0, len(r.servers))
 	for _, s := range r.servers {
-		out = append(out, View{s.Server, s.inFlight, s.ejected, time.Duration(s.latency * 1e9), s.errorRate, s.level(now)})
+		out = append(out, View{
+			s.Server, s.inFlight, s.ejected, time.Duration(s.latency * 1e9), s.errorRate, s.level(now),
+			s.feedback.Speed, s.feedback.Slowness, s.feedback.Acceptance, s.factor(now),
+		})
 	}
 	return out
 }
@@ -231,20 +247,59 @@
 	return nil
 }
 
-// choose prefers the own failure domain unless the server selected there is loaded and a remote server has a clearly
-// lower load.
+// choose prefers the own failure domain. A server of another one is considered if the server selected in the own domain is
+// loaded or a server there is clearly better, and selected if it completes the call earlier although it is further away.
 func (r *Router) choose(now time.Time, local, remote []*server) *server {
-	a := r.pickOfTwo(now, local)
-	if a != nil && (a.score(now) < loadedScore || len(remote) == 0) {
+	a := r.pickOne(now, local)
+	if a != nil && (len(remote) == 0 || a.load(now) < loadedScore && r.clearlyBetter(now, a, remote) == nil) {
 		return a
 	}
-	b := r.pickOfTwo(now, remote)
-	if a == nil || (b != nil && b.score(now)+remotePenalty < a.score(now)) {
+	b := r.pickOne(now, remote)
+	if a == nil || (b != nil && b.completion(now)+r.crossing() < a.completion(now)) {
+		return b
+	}
+	return a
+}
+
+// pickOne selects one of several servers: the better of two drawn ones, unless another is clearly better than both and
+// completes the call earlier.
+func (r *Router) pickOne(now time.Time, from []*server) *server {
+	a := r.pickOfTwo(now, from)
+	if a == nil {
+		return nil
+	}
+	if b := r.clearlyBetter(now, a, from); b != nil && b.completion(now) < a.completion(now) {
 		return b
 	}
 	return a
 }
 
+// clearlyBetter returns the server with the earliest completion among those whose factor is clearly better than that of
+// a, nil if there is none. Among servers that are alike the draw of two decides, since all callers would choose the best one
+// at the same time.
+func (r *Router) clearlyBetter(now time.Time, a *server, from []*server) *server {
+	if !now.Before(r.unevenUntil) {
+		return nil
+	}
+	var best *server
+	least := clearFactor * a.factor(now)
+	for _, s := range from {
+		if s.factor(now) > least && (best == nil || s.completion(now) < best.completion(now)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// crossing is the cost of a call to another failure domain, as a part of the usual run time of the service.
+func (r *Router) crossing() float64 {
+	run := r.median(nil, func(s *server) float64 { return s.latency })
+	if run <= 0 {
+		return unknownCrossing
+	}
+	return min(domainRoundTrip.Seconds()/run, 1)
+}
+
 // affinityServer returns the server of an affinity key: the highest by rendezvous hashing, among the warm servers if
 // there are any.
 func affinityServer(now time.Time, key string, local, remote []*server) *server {
@@ -261,7 +316,7 @@
 	return best
 }
 
-// pickOfTwo draws two servers and returns the less loaded one. If that one is cold, the warmer one is returned instead
+// pickOfTwo draws two servers and returns the one with the earlier completion. If that one is cold, the warmer one is returned instead
 // with a probability of one minus its warmth.
 func (r *Router) pickOfTwo(now time.Time, from []*server) *server {
 	switch len(from) {
@@ -276,7 +331,7 @@
 		j++
 	}
 	a, b := from[i], from[j]
-	if b.score(now) < a.score(now) {
+	if b.completion(now) < a.completion(now) {
 		a, b = b, a
 	}
 	if warm := a.warmth(now); warm < 1 && warm < b.warmth(now) && r.float() >= warm {
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -15,11 +15,29 @@
 	// feedbackExpiry is how long load and level feedback is used. It is limited so that a server without traffic is
 	// tried again.
 	feedbackExpiry = time.Second
-	// loadedScore is the score from which servers in other failure domains are considered, and remotePenalty the
-	// difference in score that they need: the round trip of 2 to 3 ms to a remote server costs less than waiting for a
-	// busy server.
-	loadedScore   = 0.7
-	remotePenalty = 0.25
+	// loadedScore is the load from which servers in other failure domains are considered.
+	loadedScore = 0.7
+	// domainRoundTrip is the round trip to another failure domain (1 to 1.5 ms one way). unknownCrossing is its cost in run
+	// times while the run time of the service is not known.
+	domainRoundTrip = 2800 * time.Microsecond
+	unknownCrossing = 0.25
+	// queueScore is the load from which a further call is expected to wait, and queueCost the weight of the load above it. A
+	// queue also delays the calls behind it, so that a free slot of a slow server is better than a queue at a fast one.
+	queueScore = 0.9
+	queueCost  = 16
+	// clearFactor is the ratio of factors from which a server is clearly better; servers of equal speed that are measured
+	// separately differ by less.
+	clearFactor = 1.25
+	// speedExpiry is the time over which the lasting speed of a server without traffic returns to 1, so that it is tried
+	// again. acceptanceExpiry is how long its acceptance counts: refusals come and go within seconds.
+	// slownessExpiry is how long its present slowness counts, which is about as long as neighbours disturb a machine.
+	speedExpiry      = 20 * time.Second
+	slownessExpiry   = 600 * time.Millisecond
+	acceptanceExpiry = 2 * time.Second
+	// maxPace bounds the speed of a server relative to the others, so that false figures cannot attract the traffic.
+	// minAcceptance bounds the acceptance, so that one server's weight does not become zero.
+	maxPace       = 2.0
+	minAcceptance = 0.05
 
 	// Numbers of failures in a row that eject a server. A timeout counts more, since it has already cost the caller
 	// its whole waiting time.
@@ -106,9 +124,17 @@
 	return p >= s.feedback.Level || p.Probe() || p >= s.level(now)
 }
 
-// score is the expected load of the server with one more call: own calls in flight plus the reported load, which is
-// weighted less as it ages. The error rate increases the score, so that fast error answers attract no traffic.
-func (s *server) score(now time.Time) float64 {
+// completion is the expected time until one more call is answered by the server, in run times of a usual server. Below
+// queueScore the load counts too, since reports of it are late and clumps of calls should spread. Among servers of equal pace
+// the order is that of their load.
+func (s *server) completion(now time.Time) float64 {
+	load := s.load(now)
+	return (1 + load + queueCost*max(load-queueScore, 0)) / s.pace(now)
+}
+
+// load is the expected load of the server with one more call: own calls in flight plus the reported load, which is
+// weighted less as it ages. The error rate increases it, so that fast error answers attract no traffic.
+func (s *server) load(now time.Time) float64 {
 	limit := s.Slots
 	if s.feedback.Limit > 0 {
 		limit = s.feedback.Limit
@@ -121,6 +147,28 @@
 	return load * (1 + 4*s.errorRate)
 }
 
+// factor is the weight of the server: the product of its warmth, speed and acceptance.
+func (s *server) factor(now time.Time) float64 { return s.warmth(now) * s.pace(now) }
+
+// pace is the product of speed and acceptance.
+func (s *server) pace(now time.Time) float64 {
+	f := &s.feedback
+	if f.Speed == 0 && f.Slowness == 0 && f.Acceptance == 0 {
+		return 1
+	}
+	age := now.Sub(s.feedbackAt)
+	speed := towardsOne(f.Speed, age, speedExpiry) / towardsOne(f.Slowness, age, slownessExpiry)
+	return min(speed, maxPace) * max(towardsOne(f.Acceptance, age, acceptanceExpiry), minAcceptance)
+}
+
+// towardsOne returns a reported figure, which returns to 1 in the second half of its expiry time. Zero is an unknown figure.
+func towardsOne(figure float64, age, expiry time.Duration) float64 {
+	if figure <= 0 || age >= expiry {
+		return 1
+	}
+	return 1 + (figure-1)*min(2*float64(expiry-age)/float64(expiry), 1)
+}
+
 // warmth grows from 0.1 to 1 during the slow start.
 func (s *server) warmth(now time.Time) float64 {
 	if s.warmFrom.IsZero() {
