crshed: refusals of a server lower the capacity of its service

Cause: while three of four servers at the end of call chains refuse 55% of their runs, everything is admitted, each call fails with about a third, and a chain of four calls almost never finishes. Change: each gate measures the share of runs that its server refuses although it has free slots and reports it in an optional field of the load on the hop line. The pressure table computes the admitted work at which the most chains finish (UsefulCapacity) from the limits and refusals of all gates and reports the pressure relative to it. A function of one server's share alone cannot tell three refusing servers of four, where admitting less helps, from four of four, where it does not. Relayed pressures say whether servers refuse; nodes that know a part of the gates only prefer those. Without refusals the pressure is computed as before.

--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -74,6 +74,7 @@
 	KeyPriority    = "priority"
 	KeyShare       = "share"
 	KeyPressure    = "pressure"
+	KeyRefused     = "refused"
 	KeyCaller      = "caller"
 	KeyFingerprint = "fingerprint"
 	KeyCount       = "count"
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -98,9 +98,11 @@
 	// pressures of downstream services known there, and cost the cost of the route; cost is nil if the answer does not
 	// report it.
 	pressure float64
-	board    []crshed.Entry
-	cost     crcost.Vector
-	origin   origin
+	// refused is the share of runs that the server refuses although it has free slots.
+	refused float64
+	board   []crshed.Entry
+	cost    crcost.Vector
+	origin  origin
 	// downstreamFailed is set if a call that the server itself made failed during the run, so that the server may not
 	// be at fault.
 	downstreamFailed bool
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -194,6 +194,7 @@
 	n.suspects.prepare(n)
 	n.services.node = n
 	n.peers.requestID = n.requestID
+	n.board.RetryRatio = n.Settings.RetryRatio
 	n.bodyBudget.limit = n.Settings.MemoryBytes / bodyMemoryShare
 	n.ledger = &crcost.Estimator{Service: n.Settings.Service}
 	n.gate = newGate(n)
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -50,12 +50,14 @@
 	downUntil     time.Time
 	reportsMissed bool
 	regulator     *crshed.Regulator
+	refusals      crshed.Refusals
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots   crshed.RootRates
 	origins originClassifier
-	// loggedPressure is the last logged pressure, at pressureLoggedAt. Only the goroutine that steps the regulator
-	// uses both.
+	// loggedPressure and loggedRefused are the last logged pressure and share of refused runs, at pressureLoggedAt. Only the
+	// goroutine that steps the regulator uses them.
 	loggedPressure   float64
+	loggedRefused    float64
 	pressureLoggedAt time.Time
 }
 
@@ -115,6 +117,7 @@
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
+	g.refusals.Reset()
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -400,7 +403,7 @@
 	if code != crcode.OK {
 		r := failureReply(code, "")
 		r.origin = c.origin
-		r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+		r.waited, r.load, r.pressure, r.refused = waited, g.feedback(), g.regulator.Pressure(), g.refusals.Share()
 		r.retryAfter = g.queueDrainTime()
 		return r
 	}
@@ -414,7 +417,7 @@
 	r.downstreamFailed = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.RunEnded(c.route, r.took, succeeded(r))
 	r.origin = c.origin
-	r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+	r.waited, r.load, r.pressure, r.refused = waited, g.feedback(), g.regulator.Pressure(), g.refusals.Share()
 	return r
 }
 
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -119,13 +119,16 @@
 		downstreamFailed = "1"
 	}
 	if r.load != nil {
-		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued)
+		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued) + formatRefused(r.refused)
 		pressure = strconv.FormatFloat(r.pressure, 'f', 2, 64)
 	}
 	var board, cost []string
 	for _, e := range n.board.Entries(now, maxBoardEntries) {
 		if e.Service != n.Settings.Service {
 			board = append(board, url.QueryEscape(e.Service)+"="+strconv.FormatFloat(e.Pressure, 'f', 2, 64)+"/"+formatMilliseconds(e.Age))
+			if e.Refusing && load != "" {
+				load += "," + refusingMark + url.QueryEscape(e.Service)
+			}
 		}
 	}
 	if costs := n.ledger.Cost(c.route); costs != nil && n.reportsCost() {
@@ -155,11 +158,13 @@
 	r.downstreamFailed = f[answerDownstreamFailed] != ""
 	if f[answerLoad] != "" {
 		if r.load, err = parseLoad(f[answerLoad]); err == nil {
+			r.refused = parseRefused(f[answerLoad])
 			r.pressure, err = strconv.ParseFloat(f[answerPressure], 64)
 		}
 	}
 	if err == nil {
 		r.board, err = parseBoard(f[answerBoard])
+		markRefusing(r.board, f[answerLoad])
 	}
 	if err == nil {
 		r.cost, err = parseCost(f[answerCost])
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -22,10 +22,10 @@
 // applyFeedback records the load, origin and cost that an answer reports.
 func (n *Node) applyFeedback(now time.Time, node string, c *call, r *reply) {
 	if r.load != nil {
-		n.board.UpdateFromGate(now, c.service, node, r.pressure, r.load.InFlight+r.load.Queued)
+		n.storePressure(now, c.service, node, r)
 	}
 	for _, e := range r.board {
-		n.board.UpdateRelayed(now, e.Service, e.Pressure, e.Age)
+		n.board.StoreEntry(now, e)
 	}
 	n.origins.set(c.route, r.origin)
 	if r.cost != nil {
--- a/internal/crforward/run.go
+++ b/internal/crforward/run.go
@@ -43,9 +43,13 @@
 			g.markDown(gr, started.Add(g.node.Settings.Heartbeat))
 		}
 		gr.tracked.cancelled()
+		if resp.Status != http.StatusMisdirectedRequest {
+			g.recordRun(gr, true)
+		}
 		finish(crlimiter.Refused)
 		return &reply{code: crcode.ServerRefused, took: r.took}
 	}
+	g.recordRun(gr, false)
 	if resp.Header.Get("Content-Encoding") != "" {
 		gr.tracked.finished(time.Now())
 		finish(crlimiter.Failure)
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -131,6 +131,7 @@
 		v.mu.Unlock()
 	}
 	s.counts.Store(&present)
+	s.node.board.UpdateServers(present)
 }
 
 // updateServers processes the servers of a service as received from the directory.
--- a/internal/crreplay/crreplay.go
+++ b/internal/crreplay/crreplay.go
@@ -81,6 +81,8 @@
 	Service      string  `toml:"service"`
 	WorkFactor   float64 `toml:"slow"`
 	RefusedShare float64 `toml:"refuse"`
+	// RefusingServers is the number of servers of Service that refuse; zero means all.
+	RefusingServers int `toml:"refusing"`
 	// LeavingServers is the number of servers of Service that take no new work. The directory of the callers is updated after
 	// NoticeDelay.
 	LeavingServers int      `toml:"leave"`
--- a/internal/crreplay/crreplay_test.go
+++ b/internal/crreplay/crreplay_test.go
@@ -126,3 +126,21 @@
 		qt.Assert(t, earned >= 0.9*x.PossibleShare, qt.IsTrue, qt.Commentf("share %.3f in second %d; %.3f was possible", earned, back+i, x.PossibleShare))
 	}
 }
+
+// TestRefusingServers replays three of four servers at the end of the call chains that refuse most of their runs. It guards
+// against entrances that admit chains which then fail midway, against an order of the priorities that is not kept, and against a
+// least important kind that is shut out.
+func TestRefusingServers(t *testing.T) {
+	// Entrances learn of the refusals, which last from 3 s to 11.5 s, within a second; chains admitted before end by 5 s.
+	const from, to = 5, 11
+	l := read(t, "refusing_servers.toml")
+	x := l.Run(1)
+	t.Logf("\n%s", x)
+	for i, s := range x.Seconds[from:to] {
+		qt.Assert(t, s.Failed < s.Served+s.Refused, qt.IsTrue, qt.Commentf("%d of %d chains failed midway in second %d", s.Failed, s.Requests, from+i))
+	}
+	redirect, track, scan := x.Row("redirect"), x.Row("track"), x.Row("scan")
+	qt.Assert(t, served(redirect) >= served(track)-0.05, qt.IsTrue)
+	qt.Assert(t, served(scan) >= served(track)-0.05, qt.IsTrue)
+	qt.Assert(t, served(track) >= 0.25, qt.IsTrue)
+}
--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -71,6 +71,7 @@
 	queue       cradmission.Queue
 	ranks       cradmission.Ranks
 	regulator   crshed.Regulator
+	refusals    crshed.Refusals
 	lastCounted time.Duration
 	// leaving is true while the server takes no new work; returnedAt is when it returned; listed is true while the directory of
 	// the callers lists it.
@@ -156,6 +157,11 @@
 			m.schedule(time.Duration(p.At+p.For), func() { m.setLeaving(p, false) })
 		}
 	}
+	for _, n := range m.nodes {
+		for name, list := range m.servers {
+			n.board.UpdateServers(map[string]int{name: len(list)})
+		}
+	}
 	m.seconds = make([]Second, (time.Duration(l.Length)+time.Second-1)/time.Second)
 	m.schedule(crshed.TickInterval, m.tick)
 	return m
@@ -331,6 +337,7 @@
 		for _, s := range list {
 			m.updateOccupancy(s)
 			s.regulator.Tick(m.clock())
+			s.refusals.Tick(m.clock())
 			second.Pressure, second.Queued = max(second.Pressure, s.regulator.Pressure()), max(second.Queued, s.queue.Len())
 		}
 	}
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -98,13 +98,14 @@
 type loadReport struct {
 	service, server string
 	pressure        float64
+	refused         float64
 	relayed         []crshed.Entry
 	feedback        *crrouter.Feedback
 }
 
 func (s *server) currentLoad(now time.Time) loadReport {
 	return loadReport{
-		s.service.Name, s.id, s.regulator.Pressure(), s.node.board.Entries(now, 4),
+		s.service.Name, s.id, s.regulator.Pressure(), s.refusals.Share(), s.node.board.Entries(now, 4),
 		&crrouter.Feedback{InFlight: s.running, Limit: s.service.Slots, Queued: s.queue.Len()},
 	}
 }
@@ -112,9 +113,10 @@
 // storeAt updates the pressure table of the node that receives the answer.
 func (t *loadReport) storeAt(now time.Time, n *node) {
 	n.board.UpdateFromGate(now, t.service, t.server, t.pressure, t.feedback.InFlight+t.feedback.Queued)
+	n.board.UpdateCapacity(t.service, t.server, crshed.ServerCapacity{Limit: t.feedback.Limit, Refused: t.refused})
 	for _, e := range t.relayed {
 		if e.Service != t.service {
-			n.board.UpdateRelayed(now, e.Service, e.Pressure, e.Age)
+			n.board.StoreEntry(now, e)
 		}
 	}
 }
@@ -123,7 +125,7 @@
 func (m *model) serverRejects(s *server) bool {
 	share := 0.0
 	m.eachActivePhase(func(p Phase) {
-		if p.Service == s.service.Name {
+		if p.Service == s.service.Name && (p.RefusingServers == 0 || slices.Index(m.servers[p.Service], s) < p.RefusingServers) {
 			share = max(share, p.RefusedShare)
 		}
 	})
@@ -153,7 +155,9 @@
 		s.regulator.RecordArrival(need, w.rates.Of(s.service.Name))
 	}
 	run := func() {
-		if m.serverRejects(s) {
+		rejects := m.serverRejects(s)
+		s.refusals.Record(rejects, s.running, s.service.Slots)
+		if rejects {
 			answer(rejected)
 			return
 		}
--- a/pkg/crshed/board.go
+++ b/pkg/crshed/board.go
@@ -16,12 +16,20 @@
 	pressureDecay = 2 * time.Second
 	// maxServices limits the services of a PressureTable.
 	maxServices = 1024
+	// usefulCapacityAge is how long a computed useful capacity is used; gates update their refusals as often.
+	usefulCapacityAge = 50 * time.Millisecond
+	// refusingHold is how long a relayed pressure of a service whose servers refuse runs takes precedence over newer ones from
+	// nodes that do not know of the refusals. It is longer than the time in which relayed pressures reach all nodes.
+	refusingHold = 500 * time.Millisecond
 	// pressureScale is the fixed-point scale at which pressures are summed.
 	pressureScale = 1e6
 )
 
 // PressureTable is a node's table of the pressures on services.
 type PressureTable struct {
+	// RetryRatio is the allowed ratio of retries to calls; zero means DefaultRetryRatio.
+	RetryRatio float64
+
 	mu       sync.Mutex
 	services map[string]*servicePressure
 }
@@ -31,6 +39,11 @@
 	gates map[string]timedPressure
 	// relayed is the most recent pressure that another node relayed.
 	relayed timedPressure
+	// servers is the number of servers of the service, zero if unknown.
+	servers int
+	// refusing is the pressure relative to the useful capacity, computed at refusingAt.
+	refusing   float64
+	refusingAt time.Time
 }
 
 type timedPressure struct {
@@ -38,6 +51,10 @@
 	at       time.Time
 	// load is the number of runs on the gate's server and in its queue; it is zero for relayed pressures.
 	load int
+	// refusing is set if servers of the service refuse runs.
+	refusing bool
+	// server is the capacity of the gate's server; its limit is zero if unknown.
+	server ServerCapacity
 }
 
 func (s timedPressure) value(now time.Time) float64 {
@@ -68,7 +85,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.getOrAdd(service)
-	p.gates[gate] = timedPressure{pressure, now, load}
+	p.gates[gate] = timedPressure{pressure: pressure, at: now, load: load, server: p.gates[gate].server, refusing: p.gates[gate].refusing}
 	for g, s := range p.gates {
 		if now.Sub(s.at) > pressureHold+pressureDecay {
 			delete(p.gates, g)
@@ -76,13 +93,43 @@
 	}
 }
 
+// UpdateCapacity stores the limit of a gate's server and the share of runs that the server refuses. It follows UpdateFromGate.
+func (b *PressureTable) UpdateCapacity(service, gate string, server ServerCapacity) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.services[service]; p != nil {
+		if t, ok := p.gates[gate]; ok {
+			t.server, t.refusing = server, server.Refused > 0
+			p.gates[gate] = t
+		}
+	}
+}
+
+// UpdateServers stores the number of servers of each service.
+func (b *PressureTable) UpdateServers(counts map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, n := range counts {
+		b.getOrAdd(service).servers = n
+	}
+}
+
 // UpdateRelayed stores the pressure on a service that another node relayed; age is the time since it was measured.
 func (b *PressureTable) UpdateRelayed(now time.Time, service string, pressure float64, age time.Duration) {
+	b.StoreEntry(now, Entry{Service: service, Pressure: pressure, Age: age})
+}
+
+// StoreEntry stores an entry that another node relayed.
+func (b *PressureTable) StoreEntry(now time.Time, e Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.getOrAdd(service)
-	if at := now.Add(-age); at.After(p.relayed.at) {
-		p.relayed = timedPressure{pressure: pressure, at: at}
+	p := b.getOrAdd(e.Service)
+	at, after := now.Add(-e.Age), p.relayed.at
+	if p.relayed.refusing && !e.Refusing {
+		after = after.Add(refusingHold)
+	}
+	if at.After(after) {
+		p.relayed = timedPressure{pressure: e.Pressure, at: at, refusing: e.Refusing}
 	}
 }
 
@@ -96,29 +143,74 @@
 	if p == nil {
 		return 0
 	}
-	v, _ := p.value(now)
-	return v
+	return p.value(now, b.retryRatio()).value(now)
+}
+
+func (b *PressureTable) retryRatio() float64 {
+	if b.RetryRatio == 0 {
+		return DefaultRetryRatio
+	}
+	return b.RetryRatio
 }
 
-// value returns the pressure and its time: the weighted mean of the recent direct reports, unless the relayed pressure is
-// more recent than their mean time.
-func (p *servicePressure) value(now time.Time) (pressure float64, at time.Time) {
+// value returns the weighted mean of the recent direct reports, unless the relayed pressure is more recent than their mean
+// time. While servers refuse runs, the pressure is at least the offered work as a multiple of the useful capacity.
+func (p *servicePressure) value(now time.Time, retries float64) timedPressure {
 	// Integer sums do not depend on the iteration order of the map, unlike floating-point sums.
-	sum, n, ages := int64(0), int64(0), time.Duration(0)
+	sum, n, ages, known, refusing := int64(0), int64(0), time.Duration(0), 0, false
 	for _, s := range p.gates {
 		if age := now.Sub(s.at); age <= pressureHold {
 			weight := int64(s.load + 1)
 			sum += weight * int64(math.Round(s.pressure*pressureScale))
 			n += weight
 			ages += time.Duration(weight) * age
+			known++
+			refusing = refusing || s.refusing
 		}
 	}
-	if n > 0 {
-		if at = now.Add(-ages / time.Duration(n)); !p.relayed.at.After(at) {
-			return float64(sum) / pressureScale / float64(n), at
+	if n == 0 {
+		return p.relayed
+	}
+	direct := timedPressure{pressure: float64(sum) / pressureScale / float64(n), refusing: refusing}
+	age := ages / time.Duration(n)
+	if refusing {
+		direct.pressure = max(direct.pressure, p.refusingPressure(now, retries))
+	}
+	if refusing || p.relayed.refusing {
+		age = p.ageWithMissing(age, known)
+	}
+	if direct.at = now.Add(-age); p.relayed.at.After(direct.at) {
+		return p.relayed
+	}
+	return direct
+}
+
+// ageWithMissing returns the mean age of the direct reports if servers without a recent report count as being pressureHold old.
+// Servers that refuse runs differ in pressure from the others, so that a few fresh reports do not show that of the service.
+func (p *servicePressure) ageWithMissing(age time.Duration, known int) time.Duration {
+	missing := max(p.servers-known, 0)
+	return (time.Duration(known)*age + time.Duration(missing)*pressureHold) / time.Duration(known+missing)
+}
+
+// refusingPressure returns the work offered to the gates with a known capacity as a multiple of their useful capacity.
+func (p *servicePressure) refusingPressure(now time.Time, retries float64) float64 {
+	if age := now.Sub(p.refusingAt); age >= 0 && age < usefulCapacityAge {
+		return p.refusing
+	}
+	var servers []ServerCapacity
+	offered := int64(0)
+	for _, s := range p.gates {
+		if now.Sub(s.at) <= pressureHold {
+			servers = append(servers, s.server)
+			offered += int64(math.Round(s.pressure * float64(s.server.Limit) * pressureScale))
 		}
 	}
-	return p.relayed.value(now), p.relayed.at
+	work := float64(offered) / pressureScale
+	p.refusing, p.refusingAt = 0, now
+	if useful := UsefulCapacity(servers, work, retries, DefaultChainCalls); useful > 0 {
+		p.refusing = min(work/useful, MaxPressure)
+	}
+	return p.refusing
 }
 
 // Entry is the pressure on one service as a node relays it to others.
@@ -126,6 +218,8 @@
 	Service  string
 	Pressure float64
 	Age      time.Duration
+	// Refusing is set if servers of the service refuse runs.
+	Refusing bool
 }
 
 // Entries returns at most n services with a recent pressure, the highest pressure first.
@@ -134,9 +228,9 @@
 	defer b.mu.Unlock()
 	var out []Entry
 	for service, p := range b.services {
-		v, at := p.value(now)
-		if age := now.Sub(at); age < pressureHold && !at.IsZero() {
-			out = append(out, Entry{service, v, age})
+		v := p.value(now, b.retryRatio())
+		if age := now.Sub(v.at); age < pressureHold && !v.at.IsZero() {
+			out = append(out, Entry{service, v.value(now), age, v.refusing})
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int {
