--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -53,12 +53,14 @@
 	regulator     *crshed.Regulator
 	// speed estimates how fast the server works.
 	speed *crspeed.Estimator
+	refusals      crshed.Refusals
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots   crshed.RootRates
 	origins originClassifier
-	// loggedPressure is the last logged pressure, at pressureLoggedAt. Only the goroutine that steps the regulator
-	// uses both.
+	// loggedPressure and loggedRefused are the last logged pressure and share of refused runs, at pressureLoggedAt. Only the
+	// goroutine that steps the regulator uses them.
 	loggedPressure   float64
+	loggedRefused    float64
 	pressureLoggedAt time.Time
 }
 
@@ -119,6 +121,7 @@
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
 	g.speed = &crspeed.Estimator{}
+	g.refusals.Reset()
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
--- a/internal/crforward/speed.go
+++ b/internal/crforward/speed.go
@@ -91,7 +91,7 @@
 
 // report adds the load and pressure of this gate to a reply.
 func (g *gate) report(now time.Time, c *call, r *reply) {
-	r.load, r.pressure = g.feedback(), g.regulator.Pressure()
+	r.load, r.pressure, r.refused = g.feedback(), g.regulator.Pressure(), g.refusals.Share()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.speed != nil {
