--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -52,8 +52,8 @@
 	reportsMissed bool
 	regulator     *crshed.Regulator
 	// speed estimates how fast the server works.
-	speed *crspeed.Estimator
-	refusals      crshed.Refusals
+	speed    *crspeed.Estimator
+	refusals crshed.Refusals
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots   crshed.RootRates
 	origins originClassifier
