crbudget, crforward: retries use what calls of repeated runs leave of the ratio

Cause: each node may retry a twentieth of its calls of a service, because the calls of a repeated run are repeats too. Where no run upstream is a repeat, three quarters of the allowed ratio stay unused while chains fail. Change: a retried or hedged attempt is marked on the hop line, a gate counts the present runs that are marked by route, and calls of its server are marked in that proportion, weighted with the calls that a run of a route has outstanding (crcost). Runs that make calls stay within a quarter. Calls of servers and the most important requests of clients may take the last saved-up retry, others leave half.

--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -48,6 +48,9 @@
 	nonRepeatable bool
 	// countedAsDemand is set once the regulator of a gate has counted the call as demand, which happens once per call.
 	countedAsDemand bool
+	// repeat is set if the run of this attempt counts as a repeat: an earlier attempt reached a server, or a repeated run made
+	// the call.
+	repeat bool
 	// rates holds, by service, the admission rate at the time the client's request was admitted. Calls made for that
 	// request inherit it.
 	rates crshed.Rates
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -52,7 +52,7 @@
 	n.gate.mu.Unlock()
 	n.services.mu.Lock()
 	for _, s := range n.services.byName {
-		out.Services = append(out.Services, serviceView{s.name, s.router.View(now), s.retries.Denied()})
+		out.Services = append(out.Services, serviceView{s.name, s.router.View(now), s.retries.Denied() + s.allowance.Denied()})
 	}
 	n.services.mu.Unlock()
 	for _, h := range n.routeHints(1) {
@@ -74,7 +74,7 @@
 )
 
 func (n *Node) declareMetrics() {
-	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
+	n.Counters.Declare("answered", "retries", "retries_denied", "repeated_calls", "server_refusals", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
 		"suspects", "suspect_waits", "convictions", "quarantine_refused")
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
 	n.Counters.Gauge("config_version", func() any {
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -8,6 +8,7 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crexchange"
 	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
@@ -52,7 +53,9 @@
 	regulator     *crshed.Regulator
 	refusals      crshed.Refusals
 	// roots holds the admission rates of the client requests that the server runs calls for.
-	roots   crshed.RootRates
+	roots crshed.RootRates
+	// repeats counts the runs on the server that are repeats.
+	repeats crbudget.Repeats
 	origins originClassifier
 	// loggedPressure and loggedRefused are the last logged pressure and share of refused runs, at pressureLoggedAt. Only the
 	// goroutine that steps the regulator uses them.
@@ -410,8 +413,10 @@
 	g.node.ledger.RunStarted(c.route)
 	started := time.Now()
 	g.roots.RunStarted(c.rates)
+	g.repeats.RunStarted(c.route, c.repeat)
 	r := g.forward(ctx, c, gr, waited)
 	g.roots.RunEnded(c.rates)
+	g.repeats.RunEnded(c.route, c.repeat)
 	g.node.Counters.Observe(waitTime+c.service, waited)
 	g.node.Counters.Observe(runTime+c.service, r.took)
 	r.downstreamFailed = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -33,6 +33,8 @@
 	flagCallerIdle = "i"
 	// flagCountedAsDemand is set if another gate of the service has counted the call as demand.
 	flagCountedAsDemand = "c"
+	// flagRepeat is set if the run counts as a repeat, so that its calls do too.
+	flagRepeat = "r"
 )
 
 // formatCall encodes the call data that the gate needs.
@@ -47,6 +49,9 @@
 	if c.countedAsDemand {
 		flags += flagCountedAsDemand
 	}
+	if c.repeat {
+		flags += flagRepeat
+	}
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
 		strconv.FormatUint(uint64(c.importance), 36), url.QueryEscape(c.caller), flags,
@@ -75,6 +80,7 @@
 	c.nonRepeatable = strings.Contains(f[callFlags], flagNonRepeatable)
 	c.callerIdle = strings.Contains(f[callFlags], flagCallerIdle)
 	c.countedAsDemand = strings.Contains(f[callFlags], flagCountedAsDemand)
+	c.repeat = strings.Contains(f[callFlags], flagRepeat)
 	c.rates = crshed.Rates{c.service: share}
 	return nil
 }
--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
-	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crroute"
@@ -36,7 +35,8 @@
 	call    *call
 	route   *crroute.Route
 	service *service
-	budget  *crbudget.Ratio
+	// leaf is set if the run of the call is known to make no calls.
+	leaf bool
 
 	mu sync.Mutex
 	// tried holds the servers that were picked, sent counts the attempts that reached a server.
@@ -48,11 +48,11 @@
 // reply and the number of attempts.
 func (n *Node) place(ctx context.Context, c *call, route *crroute.Route) (r *reply, attempts int) {
 	s := n.services.get(c.service)
-	p := &placement{node: n, call: c, route: route, service: s, budget: n.budget(s, c)}
+	p := &placement{node: n, call: c, route: route, service: s, leaf: n.makesNoCalls(c)}
 	if n.suspects.verdict(time.Now(), c.fingerprints) == crquarantine.Convicted {
 		return n.quarantineReply(c), 0
 	}
-	p.budget.RecordSuccess()
+	p.recordCall(time.Now())
 	for attempts = 1; ; attempts++ {
 		server, err := p.pick(time.Now(), !c.nonRepeatable && attempts == 1)
 		if err != nil {
@@ -80,16 +80,6 @@
 	}
 }
 
-// budget returns the retry budget of a call. Calls whose run makes no further calls have a larger one, because a retry
-// of the run repeats no calls downstream.
-func (n *Node) budget(s *service, c *call) *crbudget.Ratio {
-	costs := n.costs.get(c.route).cost
-	if _, own := costs[c.service]; c.origin == originClients && own && len(costs) == 1 {
-		return s.leafRetries
-	}
-	return s.retries
-}
-
 // pick selects a server that was not tried yet. An ejected server that is due for a probe is selected only if probe is
 // set.
 func (p *placement) pick(now time.Time, probe bool) (crrouter.Server, error) {
@@ -199,13 +189,14 @@
 // hedge sends a copy of the call to a second server. It returns nil if the copy was not sent.
 func (p *placement) hedge(ctx context.Context, c *call) *reply {
 	now := time.Now()
-	if ctx.Err() != nil || !c.rewind() || !p.budget.Allow(now) {
+	if ctx.Err() != nil || !c.rewind() || !p.takeRetry(now) {
 		return nil
 	}
 	server, err := p.pick(now, false)
 	if err != nil {
 		return nil
 	}
+	c.repeat = true
 	p.node.Counters.Add("hedged", 1)
 	p.node.Log.Emit(now, crevent.Failure, crevent.SentAgain, crevent.KeyID, c.id, crevent.KeyService, c.service, crevent.KeyServer, server.ID,
 		crevent.KeyReason, "silent", crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond))
@@ -258,10 +249,11 @@
 	case sent >= p.route.MaxAttempts:
 		return false
 	}
-	if !p.budget.Allow(now) {
+	if !p.takeRetry(now) {
 		p.node.Counters.Add("retries_denied", 1)
 		return false
 	}
+	c.repeat = true
 	p.node.Counters.Add("retries", 1)
 	p.node.Log.Emit(now, crevent.Failure, crevent.SentAgain, crevent.KeyID, c.id, crevent.KeyService, c.service, crevent.KeyTry, attempts,
 		crevent.KeyCode, r.code, crevent.KeyStatus, r.status, crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond))
--- a/internal/crforward/services.go
+++ b/internal/crforward/services.go
@@ -8,6 +8,7 @@
 	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -18,8 +19,6 @@
 	// retryRatioShare is the share of the allowed retry ratio that one level of a call chain uses. The calls of a
 	// retried run are retries at downstream services too, so the retries of all levels add up.
 	retryRatioShare = 0.25
-	// leafRetryRatioShare is that share for runs that make no calls.
-	leafRetryRatioShare = 0.6
 	// retryBurst is the number of retries that a node may accumulate. With one for each node, all nodes together stay
 	// within the tolerance of the retry ratio.
 	retryBurst = 1
@@ -29,8 +28,12 @@
 type service struct {
 	name   string
 	router *crrouter.Router
-	// retries is the budget for runs that may make calls, leafRetries for runs that make none.
-	retries, leafRetries *crbudget.Ratio
+	// retries limits the retries of runs that may make calls, allowance those of all runs together with the calls of
+	// repeated runs.
+	retries   *crbudget.Ratio
+	allowance *crbudget.Allowance
+	// ranks tells the most important requests of clients from others.
+	ranks cradmission.Ranks
 
 	mu sync.Mutex
 	// addresses holds the gate addresses and instances the server lifetimes, by node.
@@ -63,14 +66,18 @@
 		if s.byName == nil {
 			s.byName = map[string]*service{}
 		}
-		set := s.node.Settings
+		set, nodes := s.node.Settings, 0
 		v = &service{
 			name: name, router: &crrouter.Router{Domain: set.Domain},
-			retries:     retryBudget(set.RetryRatio * retryRatioShare),
-			leafRetries: retryBudget(set.RetryRatio * leafRetryRatioShare),
-			addresses:   map[string]string{}, instances: map[string]instance{},
+			retries:   retryBudget(set.RetryRatio * retryRatioShare),
+			allowance: &crbudget.Allowance{Ratio: set.RetryRatio},
+			addresses: map[string]string{}, instances: map[string]instance{},
 			latencies: map[string]float64{},
 		}
+		for _, n := range s.serverCounts() {
+			nodes += n
+		}
+		v.allowance.SetNodes(nodes)
 		s.byName[name] = v
 	}
 	return v
@@ -122,16 +129,20 @@
 func (s *services) updateServerCounts() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := map[string]int{}
+	present, nodes := map[string]int{}, 0
 	for name, v := range s.byName {
 		v.mu.Lock()
 		if n := len(v.addresses); n > 0 {
 			present[name] = n
+			nodes += n
 		}
 		v.mu.Unlock()
 	}
 	s.counts.Store(&present)
 	s.node.board.UpdateServers(present)
+	for _, v := range s.byName {
+		v.allowance.SetNodes(nodes)
+	}
 }
 
 // updateServers processes the servers of a service as received from the directory.
--- a/internal/crreplay/crreplay.go
+++ b/internal/crreplay/crreplay.go
@@ -18,6 +18,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/citronramp/citronramp/pkg/crcode"
+	"github.com/citronramp/citronramp/pkg/crshed"
 )
 
 // Load is the content of a load file.
@@ -28,10 +29,12 @@
 	Length duration `toml:"length"`
 	Hop    duration `toml:"hop"`
 	// Control is ControlShed for the real shedding code, or ControlNone for gates without load shedding at the entrances.
-	Control  string    `toml:"control"`
-	Services []Service `toml:"services"`
-	Kinds    []Kind    `toml:"kinds"`
-	Phases   []Phase   `toml:"phases"`
+	Control string `toml:"control"`
+	// RetryRatio is the allowed ratio of retries to calls; zero means crshed.DefaultRetryRatio.
+	RetryRatio float64   `toml:"retry_ratio"`
+	Services   []Service `toml:"services"`
+	Kinds      []Kind    `toml:"kinds"`
+	Phases     []Phase   `toml:"phases"`
 }
 
 // Service is a service and its servers.
@@ -111,6 +114,9 @@
 	if keys := meta.Undecoded(); len(keys) > 0 {
 		return nil, crcode.New(crcode.SettingsUnknownKey, "%s: %s", path, keys[0])
 	}
+	if l.RetryRatio == 0 {
+		l.RetryRatio = crshed.DefaultRetryRatio
+	}
 	return l, l.check(path)
 }
 
--- a/internal/crreplay/crreplay_test.go
+++ b/internal/crreplay/crreplay_test.go
@@ -144,3 +144,18 @@
 	qt.Assert(t, served(scan) >= served(track)-0.05, qt.IsTrue)
 	qt.Assert(t, served(track) >= 0.25, qt.IsTrue)
 }
+
+// TestRetriesFinishChains replays the same load with the whole retry ratio at the service that refuses, and with the quarter of it
+// that each level of a call graph may use where calls of repeated runs are not known. It guards against a part of the ratio that
+// is left unused while chains fail.
+func TestRetriesFinishChains(t *testing.T) {
+	l := read(t, "refusing_servers.toml")
+	finished := map[float64]int{}
+	for _, ratio := range []float64{l.RetryRatio, l.RetryRatio / 4} {
+		l.RetryRatio = ratio
+		x := l.Run(1)
+		finished[ratio] = x.Row("redirect").InTime + x.Row("track").InTime
+	}
+	t.Logf("chains finished by retry ratio: %v", finished)
+	qt.Assert(t, finished[0.2] > finished[0.05], qt.IsTrue)
+}
--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -58,7 +58,8 @@
 	shares  crshed.Admitter
 	roots   crshed.RootRates
 	routers map[string]*crrouter.Router
-	retries map[string]*crbudget.Ratio
+	retries map[string]*retryBudget
+	repeats crbudget.Repeats
 }
 
 // server is a server and its gate.
@@ -90,6 +91,8 @@
 	fromServer bool
 	// rates are the admitted shares of the work offered for each service when the entrance admitted the client request.
 	rates crshed.Rates
+	// repeat is true if the run counts as a repeat.
+	repeat bool
 	// counted is true once a gate has counted the work as offered load.
 	counted bool
 	done    func(good, refused bool)
@@ -125,7 +128,7 @@
 		rows: map[string]*Row{}, busy: map[string]float64{},
 	}
 	for range l.Nodes {
-		m.nodes = append(m.nodes, &node{routers: map[string]*crrouter.Router{}, retries: map[string]*crbudget.Ratio{}})
+		m.nodes = append(m.nodes, &node{routers: map[string]*crrouter.Router{}, retries: map[string]*retryBudget{}})
 	}
 	next := 0
 	for i := range l.Services {
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/cradmission"
-	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
 )
@@ -20,16 +19,14 @@
 	r = &crrouter.Router{Rand: m.rnd}
 	r.Update(m.clock(), m.listedServers(service))
 	n.routers[service] = r
-	n.retries[service] = &crbudget.Ratio{PerSuccess: retryRatio, PerSecond: 1e-6, Burst: 1}
+	n.retries[service] = newRetryBudget(len(m.nodes), m.load.RetryRatio, m.rnd.Float64)
 	return r
 }
 
 // Limits for the sends of one request, equal to those of real nodes.
 const (
-	// maxSends is the number of gates that one request may be sent to. retryRatio limits the requests to a service that may be
-	// sent to a second server after the first rejected them.
-	maxSends   = 4
-	retryRatio = 0.05
+	// maxSends is the number of gates that one request may be sent to.
+	maxSends = 4
 )
 
 // outcome is the result of one send.
@@ -69,7 +66,7 @@
 	s := m.servers[w.kind.Service][i]
 	sent := m.now
 	if len(tried) == 0 {
-		w.node.retries[w.kind.Service].RecordSuccess()
+		w.node.recordCall(m.clock(), w)
 	}
 	answer := func(o outcome) {
 		report := s.currentLoad(m.clock())
@@ -91,7 +88,7 @@
 	if o <= failed || sends >= maxSends || m.now >= w.deadline {
 		return false
 	}
-	return o != rejected || sends < 2 && w.node.retries[w.kind.Service].Allow(m.clock())
+	return o != rejected || sends < maxAttempts && w.node.takeRetry(m.clock(), w)
 }
 
 // currentLoad is the load information that an answer carries.
@@ -163,10 +160,13 @@
 		}
 		s.running++
 		s.node.roots.RunStarted(w.rates)
+		repeat := w.repeat
+		s.node.repeats.RunStarted(w.kind.Name, repeat)
 		m.updateOccupancy(s)
 		m.run(s, w, func(good bool) {
 			s.running--
 			s.node.roots.RunEnded(w.rates)
+			s.node.repeats.RunEnded(w.kind.Name, repeat)
 			if good {
 				answer(answered)
 			} else {
--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -259,6 +259,17 @@
 
 func abs(x float64) float64 { return max(x, -x) }
 
+// OutstandingPerRun returns the mean number of outstanding calls of a kind for each present run of a kind, zero if unknown.
+func (l *Estimator) OutstandingPerRun(run, call string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i, j := slices.Index(l.runKinds, run), slices.Index(l.callKinds, call)
+	if i < 0 || j < 0 {
+		return 0
+	}
+	return l.outstandingPerRun[i][j]
+}
+
 // minCost is the smallest cost that is reported, in seconds; smaller ones are within the error of the estimate.
 const minCost = 0.002
 
