--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -44,6 +44,8 @@
 	organisation string
 	// quota holds the tokens of a request whose organisation has a quota; nil for others.
 	quota *quotaUse
+	// excess is set if the request exceeds what is usual for its organisation at the service that limits its admission.
+	excess bool
 	// caller is the service of the instance at whose entrance the request arrived.
 	caller string
 	// callerIdle is set if the server of that instance ran nothing at the time, so that a client must have sent the
