--- a/internal/crcoord/quota.go
+++ b/internal/crcoord/quota.go
@@ -180,7 +180,7 @@
 	}
 	for i, d := range r.Demands {
 		m.Demands[i] = &crwire.QuotaDemand{
-			Organisation: d.Organisation, Need: d.Need, Rate: float32(d.Limit.Rate), Burst: float32(d.Limit.Burst), Version: d.Limit.Version,
+			Organisation: d.Organisation, Need: d.Need, Spare: d.Spare, Rate: float32(d.Limit.Rate), Burst: float32(d.Limit.Burst), Version: d.Limit.Version,
 		}
 	}
 	return m
@@ -193,7 +193,7 @@
 		r.Contacts[i] = crquota.Contact{Node: c.GetNode(), Term: c.GetTerm(), Stamp: milliseconds(c.GetStampMs()), Nodes: c.GetNodes()}
 	}
 	for i, d := range m.GetDemands() {
-		r.Demands[i] = crquota.Demand{Organisation: d.GetOrganisation(), Need: d.GetNeed(), Limit: crquota.Limit{
+		r.Demands[i] = crquota.Demand{Organisation: d.GetOrganisation(), Need: d.GetNeed(), Spare: d.GetSpare(), Limit: crquota.Limit{
 			Rate: float64(d.GetRate()), Burst: float64(d.GetBurst()), Version: d.GetVersion(),
 		}}
 	}
@@ -206,7 +206,7 @@
 	}
 	for i, g := range r.Grants {
 		m.Grants[i] = &crwire.QuotaGrant{
-			Organisation: g.Organisation, Granted: g.Granted, WaitMs: uint32(g.Wait.Milliseconds()), Plenty: g.Plenty,
+			Organisation: g.Organisation, Granted: g.Granted, WaitMs: uint32(g.Wait.Milliseconds()), Spare: g.Spare,
 		}
 	}
 	return m
@@ -217,7 +217,7 @@
 	r := crquota.Reply{Term: m.GetTerm(), Stamp: milliseconds(m.GetStampMs()), Nodes: m.GetNodes(), Grants: make([]crquota.Grant, len(m.GetGrants()))}
 	for i, g := range m.GetGrants() {
 		r.Grants[i] = crquota.Grant{
-			Organisation: g.GetOrganisation(), Granted: g.GetGranted(), Wait: milliseconds(uint64(g.GetWaitMs())), Plenty: g.GetPlenty(),
+			Organisation: g.GetOrganisation(), Granted: g.GetGranted(), Wait: milliseconds(uint64(g.GetWaitMs())), Spare: g.GetSpare(),
 		}
 	}
 	return r
--- a/pkg/crquota/crquota.go
+++ b/pkg/crquota/crquota.go
@@ -43,32 +43,35 @@
 
 // Constants of the token bucket.
 const (
-	// unlimitedPart is the share of the burst that a quota without a rate returns per second, and idlePart the share that it
-	// lets accumulate: together they allow the burst once in 5 seconds.
-	unlimitedPart = 0.1
-	idlePart      = 0.5
-	// minBurstTime is the part of a second of the rate that a balance can hold at least, so that no tokens are lost between
-	// the messages of the coordinators, but no more than maxMinBurst tokens, half of what callers may exceed their quota by.
-	minBurstTime = 0.1
-	maxMinBurst  = 10
+	// burstRate is the share of the burst that a quota without a rate returns per second, and burstPart the share that it lets
+	// accumulate: together they allow the burst once in 5 seconds.
+	burstRate = 0.1
+	burstPart = 0.5
+	// A balance can hold the tokens of marginTime beyond the burst, at least 1 and at most maxMargin, half of what callers may
+	// exceed their quota by. From this margin come spare tokens, so that they are not missing in a burst, and it keeps the
+	// tokens of a quota without a burst between the messages of the coordinators.
+	marginTime = 100 * time.Millisecond
+	maxMargin  = 10
 )
 
 func (l Limit) valid() bool {
 	return l.Rate >= 0 && l.Burst >= 0 && l.Rate+l.Burst > 0 && !math.IsInf(l.Rate+l.Burst, 0)
 }
 
-// bucket returns the rate and the capacity of the token bucket.
-func (l Limit) bucket() (rate, capacity float64) {
-	if l.Rate == 0 {
-		return l.Burst * unlimitedPart, max(1, l.Burst*idlePart)
+// bucket returns the rate and the burst of the token bucket, and its capacity, which exceeds the burst by a margin.
+func (l Limit) bucket() (rate, burst, capacity float64) {
+	rate, burst = l.Rate, l.Burst
+	if rate == 0 {
+		rate, burst = burst*burstRate, burst*burstPart
 	}
-	return l.Rate, max(l.Burst, min(max(1, l.Rate*minBurstTime), maxMinBurst))
+	return rate, burst, burst + min(max(1, rate*marginTime.Seconds()), maxMargin)
 }
 
-// Demand asks for tokens of an organisation.
+// Demand asks for tokens of an organisation: Need are those that are expected to be spent, Spare those that the node would
+// like to hold in case of a request, if the balance is nearly full.
 type Demand struct {
 	Organisation string
-	Need         uint32
+	Need, Spare  uint32
 	Limit        Limit
 }
 
@@ -87,13 +90,12 @@
 	Demands  []Demand
 }
 
-// Grant is the number of tokens granted to a demand. Wait is the time until tokens return when it is less than the need.
-// Plenty is set while the balance is nearly full, so that tokens that are not spent cost nothing.
+// Grant is the number of tokens granted to the need of a demand and to its spare. Wait is the time until tokens return when it
+// is less than the need.
 type Grant struct {
-	Organisation string
-	Granted      uint32
-	Wait         time.Duration
-	Plenty       bool
+	Organisation   string
+	Granted, Spare uint32
+	Wait           time.Duration
 }
 
 // Reply answers a request.
--- a/pkg/crquota/merge.go
+++ b/pkg/crquota/merge.go
@@ -7,7 +7,7 @@
 	for _, r := range reqs {
 		out.Contacts = append(out.Contacts, r.Contacts...)
 		for _, d := range r.Demands {
-			d.Need = min(d.Need, maxNeed)
+			d.Need, d.Spare = min(d.Need, maxNeed), min(d.Spare, maxNeed)
 			i, ok := index[d.Organisation]
 			if !ok {
 				index[d.Organisation] = len(out.Demands)
@@ -15,7 +15,7 @@
 				continue
 			}
 			m := &out.Demands[i]
-			m.Need = min(m.Need+d.Need, maxNeed)
+			m.Need, m.Spare = min(m.Need+d.Need, maxNeed), min(m.Spare+d.Spare, maxNeed)
 			if d.Limit.Version > m.Limit.Version {
 				m.Limit = d.Limit
 			}
@@ -24,61 +24,70 @@
 	return out
 }
 
-// Split divides the reply to merged requests: it returns one reply for each of them. Tokens that are fewer than the need are
-// divided in proportion to the needs, and the remainder goes to one node after the other, from the given turn on.
+// claim is the demand of one of several merged requests and its part of the grant.
+type claim struct {
+	demand Demand
+	grant  *Grant
+}
+
+// Split divides the reply to merged requests: it returns one reply for each of them. The turn decides who gets the tokens that
+// cannot be divided evenly; it should differ from call to call.
 func Split(reqs []Request, r Reply, turn int) []Reply {
 	grants := make(map[string]Grant, len(r.Grants))
 	for _, g := range r.Grants {
 		grants[g.Organisation] = g
 	}
-	needs := map[string]uint64{}
-	for _, q := range reqs {
-		for _, d := range q.Demands {
-			needs[d.Organisation] += uint64(min(d.Need, maxNeed))
-		}
-	}
-	left := make(map[string]uint32, len(grants))
-	for org, g := range grants {
-		left[org] = g.Granted
-	}
+	claims := make(map[string][]claim, len(grants))
 	out := make([]Reply, len(reqs))
 	for i, q := range reqs {
 		out[i] = Reply{Term: r.Term, Stamp: r.Stamp, Nodes: r.Nodes, Grants: make([]Grant, 0, len(q.Demands))}
 		for _, d := range q.Demands {
-			g, ok := grants[d.Organisation]
-			if !ok {
-				continue
+			if g, ok := grants[d.Organisation]; ok {
+				out[i].Grants = append(out[i].Grants, Grant{Organisation: d.Organisation, Wait: g.Wait})
+				claims[d.Organisation] = append(claims[d.Organisation], claim{d, &out[i].Grants[len(out[i].Grants)-1]})
 			}
-			need := min(d.Need, maxNeed)
-			part := uint32(min(uint64(need), uint64(g.Granted)*uint64(need)/max(needs[d.Organisation], 1)))
-			part = min(part, left[d.Organisation])
-			left[d.Organisation] -= part
-			g.Granted = part
-			out[i].Grants = append(out[i].Grants, g)
 		}
 	}
-	distributeRest(reqs, out, left, turn)
+	for organisation, list := range claims {
+		splitGrant(grants[organisation], list, turn)
+	}
 	return out
 }
 
-// distributeRest gives the tokens that are left to the requests whose need is not met, one each in turn, and clears the waiting
-// time of those whose need is met.
-func distributeRest(reqs []Request, out []Reply, left map[string]uint32, turn int) {
-	for k := range reqs {
-		i := (turn + k) % len(reqs)
-		need := make(map[string]uint32, len(reqs[i].Demands))
-		for _, d := range reqs[i].Demands {
-			need[d.Organisation] = min(d.Need, maxNeed)
+// splitGrant sets the parts that the claims have in a grant.
+func splitGrant(g Grant, list []claim, turn int) {
+	needs, spares := make([]uint32, len(list)), make([]uint32, len(list))
+	for i, c := range list {
+		needs[i], spares[i] = min(c.demand.Need, maxNeed), min(c.demand.Spare, maxNeed)
+	}
+	granted, spare := divide(g.Granted, needs, turn), divide(g.Spare, spares, turn)
+	for i, c := range list {
+		c.grant.Granted, c.grant.Spare = granted[i], spare[i]
+		if granted[i] >= needs[i] {
+			c.grant.Wait = 0
 		}
-		for j := range out[i].Grants {
-			g := &out[i].Grants[j]
-			if g.Granted < need[g.Organisation] && left[g.Organisation] > 0 {
-				left[g.Organisation]--
-				g.Granted++
-			}
-			if g.Granted >= need[g.Organisation] {
-				g.Wait = 0
-			}
+	}
+}
+
+// divide divides tokens in proportion to the wants. The remainder goes to one after the other, from the given turn on.
+func divide(tokens uint32, wants []uint32, turn int) []uint32 {
+	var sum uint64
+	for _, v := range wants {
+		sum += uint64(v)
+	}
+	parts := make([]uint32, len(wants))
+	total := uint64(min(uint64(tokens), sum))
+	left := total
+	for i, v := range wants {
+		parts[i] = uint32(total * uint64(v) / max(sum, 1))
+		left -= uint64(parts[i])
+	}
+	for k := 0; left > 0; k++ {
+		i := (turn + k) % len(wants)
+		if parts[i] < wants[i] {
+			parts[i]++
+			left--
 		}
 	}
+	return parts
 }
--- a/pkg/crquota/owner.go
+++ b/pkg/crquota/owner.go
@@ -15,9 +15,6 @@
 	maxScans = 12
 	// askWindow is the time over which demands compete for a balance; each coordinator asks once in it.
 	askWindow = 20 * time.Millisecond
-	// plentyPart is the share of its capacity from which a balance is plentiful. The rest is what nodes may use up by
-	// holding tokens in advance, at the expense of a later burst.
-	plentyPart = 0.8
 )
 
 // Owner holds the balances of all organisations during one term of the leader of the log. Create it with NewOwner when the
@@ -179,8 +176,8 @@
 // order of the messages of the coordinators does not decide.
 func (o *Owner) grant(now time.Time, d Demand) Grant {
 	b := o.balance(d)
-	rate, capacity := b.limit.bucket()
-	b.refill(o.granting, rate, capacity)
+	rate, burst, capacity := b.limit.bucket()
+	b.refill(o.granting)
 	need := float64(min(d.Need, maxNeed))
 	b.asked = b.asked*math.Exp(-now.Sub(b.askedAt).Seconds()/askWindow.Seconds()) + need
 	b.askedAt = now
@@ -193,7 +190,9 @@
 	}
 	granted = min(granted, math.Floor(b.level))
 	b.level -= granted
-	g := Grant{Organisation: d.Organisation, Granted: uint32(granted), Plenty: b.level >= plentyPart*capacity}
+	spare := min(math.Floor(max(0, b.level-burst)), float64(min(d.Spare, maxNeed)))
+	b.level -= spare
+	g := Grant{Organisation: d.Organisation, Granted: uint32(granted), Spare: uint32(spare)}
 	if granted < need {
 		g.Wait = waitTime((b.asked - granted - b.level) / rate)
 	}
@@ -215,9 +214,9 @@
 		o.balances.Add(d.Organisation, b)
 	}
 	if d.Limit.Version > b.limit.Version {
-		b.refill(o.granting, b.limit.rate(), b.limit.capacity())
+		b.refill(o.granting)
 		b.limit = d.Limit
-		b.level = min(b.level, b.limit.capacity())
+		b.refill(o.granting)
 	}
 	return b
 }
@@ -229,23 +228,15 @@
 	if !ok {
 		return
 	}
-	b.refill(o.granting, b.limit.rate(), b.limit.capacity())
-	if b.level < b.limit.capacity() {
+	b.refill(o.granting)
+	if _, _, capacity := b.limit.bucket(); b.level < capacity {
 		o.floor = o.granting
 	}
 }
 
-func (b *balance) refill(granting, rate, capacity float64) {
+// refill lets the balance grow until the given value of granting.
+func (b *balance) refill(granting float64) {
+	rate, _, capacity := b.limit.bucket()
 	b.level = min(capacity, b.level+(granting-b.mark)*rate)
 	b.mark = granting
 }
-
-func (l Limit) rate() float64 {
-	rate, _ := l.bucket()
-	return rate
-}
-
-func (l Limit) capacity() float64 {
-	_, capacity := l.bucket()
-	return capacity
-}
--- a/pkg/crquota/wallet.go
+++ b/pkg/crquota/wallet.go
@@ -16,14 +16,16 @@
 	// maxPending bounds the requests without an answer; an older one is given up by its sender before its tokens expire.
 	maxPending = 4
 	// fastMemory and slowMemory are the time constants of the two estimates of an organisation's demand. The fast one decides
-	// how many tokens a busy organisation needs, the slow one which organisations hold a token while their balance is plentiful.
+	// how many tokens a busy organisation needs, the slow one which organisations hold a spare token.
 	fastMemory = 500 * time.Millisecond
 	slowMemory = 10 * time.Second
 	// minSlowRate is the rate, in requests per second, below which no token is held in advance.
 	minSlowRate = 0.05
-	// minExpected is the number of requests expected within the horizon from which tokens are asked for in advance from a
-	// balance that is not plentiful: with fewer, more tokens would expire than be spent.
+	// minExpected is the number of requests expected within the horizon from which they count as need: with fewer, more tokens
+	// would expire than be spent.
 	minExpected = 1.0
+	// spareRetry is the time between requests for spare tokens when the balance has none.
+	spareRetry = 500 * time.Millisecond
 	// askBelow is the part of the expected need below which the tokens held have to fall before more are asked for.
 	askBelow = 0.6
 	// staticLifetime is how long a token of the static share can be spent. It is short because all nodes may be out of contact.
@@ -87,7 +89,8 @@
 	// waiting counts the requests that wait for a token, pending the tokens that were asked for without an answer yet.
 	waiting int
 	pending uint32
-	plenty  bool
+	// noSpareUntil is the time until which no spare tokens are asked for.
+	noSpareUntil time.Time
 	// refuseUntil is the time until which the balance counts as empty, retryAt the time at which tokens return.
 	refuseUntil, retryAt time.Time
 	static               staticShare
@@ -101,7 +104,7 @@
 	}
 	a, ok := w.accounts.Get(org)
 	if !ok {
-		a = &account{fast: decayingRate{memory: fastMemory}, slow: decayingRate{memory: slowMemory}, plenty: true}
+		a = &account{fast: decayingRate{memory: fastMemory}, slow: decayingRate{memory: slowMemory}}
 		w.accounts.Add(org, a)
 	}
 	if l.Version >= a.limit.Version {
@@ -188,9 +191,9 @@
 	r := Request{Contacts: []Contact{w.contact}}
 	due := now.Sub(w.sentAt) >= keepAlive
 	for org, a := range w.active {
-		need, urgent := a.need(now)
-		if need > 0 {
-			r.Demands = append(r.Demands, Demand{Organisation: org, Need: need, Limit: a.limit})
+		need, spare, urgent := a.need(now)
+		if need+spare > 0 {
+			r.Demands = append(r.Demands, Demand{Organisation: org, Need: need, Spare: spare, Limit: a.limit})
 		}
 		due = due || urgent
 		if a.idle(now) {
@@ -202,7 +205,7 @@
 	}
 	for _, d := range r.Demands {
 		if a, ok := w.peek(d.Organisation); ok {
-			a.pending += d.Need
+			a.pending += d.Need + d.Spare
 		}
 	}
 	w.sentAt = now
@@ -217,14 +220,20 @@
 		w.contact.Term, w.contact.Stamp, w.contact.Nodes = r.Term, r.Stamp, r.Nodes
 	}
 	w.answeredAt = now
+	asked := make(map[string]uint32, len(req.Demands))
+	for _, d := range req.Demands {
+		asked[d.Organisation] = d.Spare
+	}
 	for _, g := range r.Grants {
 		a, ok := w.peek(g.Organisation)
 		if !ok {
 			continue
 		}
-		a.plenty = g.Plenty
-		if expires := sent.Add(w.Lifetime); g.Granted > 0 && now.Before(expires) {
-			a.add(lot{g.Granted, expires})
+		if g.Spare < asked[g.Organisation] {
+			a.noSpareUntil = now.Add(spareRetry)
+		}
+		if expires := sent.Add(w.Lifetime); g.Granted+g.Spare > 0 && now.Before(expires) {
+			a.add(lot{g.Granted + g.Spare, expires})
 		}
 		if g.Wait > 0 {
 			a.refuseUntil, a.retryAt = now.Add(MinWait), now.Add(g.Wait)
@@ -241,29 +250,27 @@
 	w.pending--
 	for _, d := range req.Demands {
 		if a, ok := w.peek(d.Organisation); ok {
-			a.pending -= min(a.pending, d.Need)
+			a.pending -= min(a.pending, d.Need+d.Spare)
 		}
 	}
 }
 
-// need returns the number of tokens to ask for, and whether they are needed at once.
-func (a *account) need(now time.Time) (need uint32, urgent bool) {
-	expected := a.fast.perSecond(now) * horizon.Seconds()
-	slow := a.slow.perSecond(now)
-	switch {
-	case a.plenty && slow >= minSlowRate:
-		// Tokens that are not spent cost nothing, so that there are enough for arrivals at random times.
-		expected = max(expected, slow*horizon.Seconds())
-		expected = max(expected+math.Sqrt(expected), 1)
-	case expected < minExpected:
+// need returns the number of tokens to ask for, the number of spare ones, and whether they are needed at once. Spare tokens
+// make up for arrivals at random times, so that few requests have to wait.
+func (a *account) need(now time.Time) (need, spare uint32, urgent bool) {
+	expected, slow := a.fast.perSecond(now)*horizon.Seconds(), a.slow.perSecond(now)
+	reserve := 0.0
+	if slow >= minSlowRate && !now.Before(a.noSpareUntil) {
+		reserve = max(expected, slow*horizon.Seconds())
+		reserve = max(reserve+math.Sqrt(reserve), 1)
+	}
+	if expected < minExpected {
 		expected = 0
 	}
 	held := float64(a.held(now.Add(MinWait)) + a.pending)
-	want := float64(a.waiting) + expected
-	if want <= held {
-		return 0, false
-	}
-	return uint32(min(math.Ceil(want-held), maxNeed)), a.waiting > int(held) || held < askBelow*expected
+	needed := min(math.Ceil(max(0, float64(a.waiting)+expected-held)), maxNeed)
+	more := min(math.Ceil(max(0, float64(a.waiting)+reserve-held-needed)), maxNeed)
+	return uint32(needed), uint32(more), float64(a.waiting) > held || held < askBelow*max(expected, reserve)
 }
 
 func (a *account) idle(now time.Time) bool {
@@ -312,7 +319,7 @@
 // a random phase on, and each can be spent for staticLifetime only, so that those of many nodes do not come together.
 func (a *account) spendStatic(now, begin time.Time, nodes uint32, random func() float64) Decision {
 	s := &a.static
-	rate, _ := a.limit.bucket()
+	rate, _, _ := a.limit.bucket()
 	rate *= staticPart / float64(max(nodes, 1))
 	if !s.begin.Equal(begin) || s.rate != rate {
 		*s = staticShare{begin: begin, rate: rate, phase: random()}
