crquota: nodes return tokens that they do not spend

Cause: spare tokens expired unused, so that a balance could afford few of them, and most requests of organisations with little demand at each node waited.

Change: a node returns tokens that would expire within 150 ms with its next request, and the owner puts them back into the balance. It takes them only within 0.5 s of their grant, in the same term, and only from a request with a new sequence number, so that they never count twice. Spare tokens come from the upper half of the burst, for organisations with a request at the node within 3 s.

TestReturned fails when late, repeated or foreign returns are taken.

--- a/internal/crcoord/quota.go
+++ b/internal/crcoord/quota.go
@@ -38,7 +38,8 @@
 	sentAt, dueAt time.Time
 	timer         *time.Timer
 	calls         int
-	turn          int
+	// sequences are those of the requests of nodes.
+	sequences crquota.Sequences
 }
 
 // counts returns the nodes and organisations that the owner knows, and the withheld fraction of each rate; 0 if this coordinator
@@ -61,7 +62,7 @@
 func (c *Coordinator) handleQuota(ctx context.Context, from *crwire.Session, m *crwire.QuotaAcquire) (*crwire.QuotaGrants, error) {
 	switch from.Peer().Role {
 	case crwire.RoleControl:
-		return c.grantQuota(ctx, m)
+		return c.grantQuota(from.Peer().Name, m)
 	case crwire.RoleNode:
 		return c.mergeQuota(ctx, from.Peer().Name, m)
 	}
@@ -70,7 +71,7 @@
 
 // grantQuota grants tokens as the leader. The lease is checked again after the decision: if it has ended meanwhile, another
 // leader may grant already, and the reply is discarded with its tokens.
-func (c *Coordinator) grantQuota(_ context.Context, m *crwire.QuotaAcquire) (*crwire.QuotaGrants, error) {
+func (c *Coordinator) grantQuota(coordinator string, m *crwire.QuotaAcquire) (*crwire.QuotaGrants, error) {
 	req := DecodeQuotaAcquire(m)
 	c.quotas.mu.Lock()
 	defer c.quotas.mu.Unlock()
@@ -83,7 +84,7 @@
 	if c.quotas.owner == nil || c.quotas.owner.Term() != st.Term {
 		c.quotas.owner = crquota.NewOwner(now, st.Term)
 	}
-	r := c.quotas.owner.Acquire(now, req)
+	r := c.quotas.owner.Acquire(now, coordinator, req)
 	if after := c.replica.Status(); !after.Leads || after.Term != st.Term {
 		c.quotas.owner = nil
 		return nil, crcode.New(crcode.NoLeader, "the lease has ended")
@@ -99,7 +100,7 @@
 	for i := range t.request.Contacts {
 		t.request.Contacts[i].Node = node
 	}
-	if !c.queueQuota(ctx, t) {
+	if !c.queueQuota(ctx, node, t) {
 		return nil, crcode.New(crcode.Overflow, "too many requests for tokens")
 	}
 	select {
@@ -113,13 +114,16 @@
 	}
 }
 
-func (c *Coordinator) queueQuota(ctx context.Context, t *quotaTicket) bool {
+func (c *Coordinator) queueQuota(ctx context.Context, node string, t *quotaTicket) bool {
 	q := &c.quotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.waiting) >= maxQuotaWaiting {
 		return false
 	}
+	if !q.sequences.Fresh(node, t.request.Sequence) {
+		t.request.DropReturned()
+	}
 	q.waiting = append(q.waiting, t)
 	dueAt := q.sentAt.Add(calmMergeInterval)
 	if t.request.Urgent {
@@ -146,8 +150,7 @@
 		return
 	}
 	q.waiting, q.sentAt = nil, crclock.Now()
-	q.turn++
-	turn, room := q.turn, q.calls < maxQuotaCalls
+	sequence, room := uint64(q.sentAt.UnixNano()), q.calls < maxQuotaCalls
 	q.calls++
 	q.mu.Unlock()
 	defer func() {
@@ -161,7 +164,7 @@
 	}
 	var replies []crquota.Reply
 	if room {
-		replies = c.callQuotaOwner(ctx, requests, turn)
+		replies = c.callQuotaOwner(ctx, requests, sequence)
 	}
 	for i, t := range tickets {
 		if replies == nil {
@@ -173,28 +176,35 @@
 }
 
 // callQuotaOwner returns the parts of the leader's reply, or nil if there is none. The tokens of a lost reply stay spent.
-func (c *Coordinator) callQuotaOwner(ctx context.Context, requests []crquota.Request, turn int) []crquota.Reply {
+func (c *Coordinator) callQuotaOwner(ctx context.Context, requests []crquota.Request, sequence uint64) []crquota.Reply {
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
 	defer cancel()
-	m := EncodeQuotaAcquire(crquota.Merge(requests))
+	merged := crquota.Merge(requests)
+	merged.Sequence = sequence
+	m := EncodeQuotaAcquire(merged)
 	c.Counters.Add("quota_messages", 1)
-	grants, err := callLeaderOnce(ctx, c, c.grantQuota, MethodQuota, m, m)
+	grants, err := callLeaderOnce(ctx, c, func(_ context.Context, m *crwire.QuotaAcquire) (*crwire.QuotaGrants, error) {
+		return c.grantQuota(c.Settings.Name, m)
+	}, MethodQuota, m, m)
 	if err != nil {
 		c.Counters.Add("quota_unanswered", 1)
 		return nil
 	}
-	return crquota.Split(requests, DecodeQuotaGrants(grants), turn)
+	return crquota.Split(requests, DecodeQuotaGrants(grants), int(sequence%1_000_003))
 }
 
 // EncodeQuotaAcquire returns the message of a request for tokens.
 func EncodeQuotaAcquire(r crquota.Request) *crwire.QuotaAcquire {
-	m := &crwire.QuotaAcquire{Contacts: make([]*crwire.QuotaContact, len(r.Contacts)), Demands: make([]*crwire.QuotaDemand, len(r.Demands)), Urgent: r.Urgent}
+	m := &crwire.QuotaAcquire{
+		Contacts: make([]*crwire.QuotaContact, len(r.Contacts)), Demands: make([]*crwire.QuotaDemand, len(r.Demands)),
+		Urgent: r.Urgent, Sequence: r.Sequence, Term: r.Term, StampMs: uint64(r.Stamp.Milliseconds()),
+	}
 	for i, c := range r.Contacts {
 		m.Contacts[i] = &crwire.QuotaContact{Node: c.Node, Term: c.Term, StampMs: uint64(c.Stamp.Milliseconds()), Nodes: c.Nodes}
 	}
 	for i, d := range r.Demands {
 		m.Demands[i] = &crwire.QuotaDemand{
-			Organisation: d.Organisation, Need: d.Need, Spare: d.Spare, Rate: float32(d.Limit.Rate), Burst: float32(d.Limit.Burst), Version: d.Limit.Version,
+			Organisation: d.Organisation, Need: d.Need, Spare: d.Spare, Returned: d.Returned, Rate: float32(d.Limit.Rate), Burst: float32(d.Limit.Burst), Version: d.Limit.Version,
 		}
 	}
 	return m
@@ -202,12 +212,15 @@
 
 // DecodeQuotaAcquire returns the request that a message holds.
 func DecodeQuotaAcquire(m *crwire.QuotaAcquire) crquota.Request {
-	r := crquota.Request{Contacts: make([]crquota.Contact, len(m.GetContacts())), Demands: make([]crquota.Demand, len(m.GetDemands())), Urgent: m.GetUrgent()}
+	r := crquota.Request{
+		Contacts: make([]crquota.Contact, len(m.GetContacts())), Demands: make([]crquota.Demand, len(m.GetDemands())),
+		Urgent: m.GetUrgent(), Sequence: m.GetSequence(), Term: m.GetTerm(), Stamp: milliseconds(m.GetStampMs()),
+	}
 	for i, c := range m.GetContacts() {
 		r.Contacts[i] = crquota.Contact{Node: c.GetNode(), Term: c.GetTerm(), Stamp: milliseconds(c.GetStampMs()), Nodes: c.GetNodes()}
 	}
 	for i, d := range m.GetDemands() {
-		r.Demands[i] = crquota.Demand{Organisation: d.GetOrganisation(), Need: d.GetNeed(), Spare: d.GetSpare(), Limit: crquota.Limit{
+		r.Demands[i] = crquota.Demand{Organisation: d.GetOrganisation(), Need: d.GetNeed(), Spare: d.GetSpare(), Returned: d.GetReturned(), Limit: crquota.Limit{
 			Rate: float64(d.GetRate()), Burst: float64(d.GetBurst()), Version: d.GetVersion(),
 		}}
 	}
--- a/pkg/crquota/crquota.go
+++ b/pkg/crquota/crquota.go
@@ -6,7 +6,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Limits of the state and the messages.
@@ -48,8 +51,7 @@
 	burstRate = 0.1
 	burstPart = 0.5
 	// A balance can hold the tokens of marginTime beyond the burst, at least 1 and at most maxMargin, half of what callers may
-	// exceed their quota by. From this margin come spare tokens, so that they are not missing in a burst, and it keeps the
-	// tokens of a quota without a burst between the messages of the coordinators.
+	// exceed their quota by. The margin keeps the tokens of a quota without a burst between the messages of the coordinators.
 	marginTime = 100 * time.Millisecond
 	maxMargin  = 10
 )
@@ -68,11 +70,11 @@
 }
 
 // Demand asks for tokens of an organisation: Need are those that are expected to be spent, Spare those that the node would
-// like to hold in case of a request, if the balance is nearly full.
+// like to hold in case of a request, if the balance is large. Returned are earlier tokens that the node gives back.
 type Demand struct {
-	Organisation string
-	Need, Spare  uint32
-	Limit        Limit
+	Organisation          string
+	Need, Spare, Returned uint32
+	Limit                 Limit
 }
 
 // Contact is what a node holds: the term and the stamp of the last answer that it received, and the number of nodes that it
@@ -84,11 +86,50 @@
 	Nodes uint32
 }
 
-// Request asks for tokens for some nodes. It is urgent if requests of clients wait for them.
+// Request asks for tokens for some nodes. It is urgent if requests of clients wait for them. Sequence increases from one request
+// of a sender to the next. Term and Stamp are those of the reply that granted the returned tokens, the oldest if there are
+// several.
 type Request struct {
 	Contacts []Contact
 	Demands  []Demand
 	Urgent   bool
+	Sequence uint64
+	Term     uint64
+	Stamp    time.Duration
+}
+
+// returns reports whether tokens are returned.
+func (r *Request) returns() bool {
+	return slices.ContainsFunc(r.Demands, func(d Demand) bool { return d.Returned > 0 })
+}
+
+// DropReturned removes the returned tokens from a request, which then are lost.
+func (r *Request) DropReturned() {
+	for i := range r.Demands {
+		r.Demands[i].Returned = 0
+	}
+}
+
+// maxSenders bounds the senders whose messages are told apart; a coordinator serves 1,430 nodes.
+const maxSenders = 4000
+
+// Sequences recognises requests that arrive twice or after a later one of the same sender. Their returned tokens must not
+// be taken, since they would count twice.
+type Sequences struct {
+	last *simplelru.LRU[string, uint64]
+}
+
+// Fresh reports whether a sequence number is above all earlier ones of the sender.
+func (s *Sequences) Fresh(sender string, sequence uint64) bool {
+	if s.last == nil {
+		// The size is a positive constant, which is the only condition.
+		s.last, _ = simplelru.NewLRU[string, uint64](maxSenders, nil)
+	}
+	if last, ok := s.last.Get(sender); ok && sequence <= last {
+		return false
+	}
+	s.last.Add(sender, sequence)
+	return true
 }
 
 // Grant is the number of tokens granted to the need of a demand and to its spare. Wait is the time until tokens return when it
--- a/pkg/crquota/crquota_test.go
+++ b/pkg/crquota/crquota_test.go
@@ -234,3 +234,37 @@
 	_, ok = w.Spend(now, organisation)
 	c.Assert(ok, qt.IsFalse, qt.Commentf("the answer came after the time of its tokens"))
 }
+
+// TestReturned guards against returned tokens that count twice or for another window: those of a message that arrives twice, too
+// late, or at the owner of another term.
+func TestReturned(t *testing.T) {
+	l := crquota.Limit{Rate: 1, Burst: 10, Version: 1}
+	for name, x := range map[string]struct {
+		after    time.Duration
+		sequence uint64
+		term     uint64
+		want     uint32
+	}{
+		"in time": {300 * time.Millisecond, 2, 1, 10}, "again": {300 * time.Millisecond, 1, 1, 0}, "late": {600 * time.Millisecond, 2, 1, 0},
+		"other term": {300 * time.Millisecond, 2, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			o := crquota.NewOwner(start, 1)
+			ask := func(now time.Time, r crquota.Request, d crquota.Demand) crquota.Reply {
+				d.Organisation, d.Limit = organisation, l
+				r.Demands = []crquota.Demand{d}
+				r.Contacts = []crquota.Contact{{Node: "n", Term: 1, Stamp: now.Sub(start)}}
+				return o.Acquire(now, "c", r)
+			}
+			for s := range 20 {
+				ask(start.Add(time.Duration(s)*time.Second/2), crquota.Request{}, crquota.Demand{})
+			}
+			now := start.Add(10500 * time.Millisecond)
+			r := ask(now, crquota.Request{Sequence: 1}, crquota.Demand{Need: 10})
+			qt.Assert(t, r.Grants[0].Granted, qt.Equals, uint32(10))
+			r = ask(now.Add(x.after), crquota.Request{Sequence: x.sequence, Term: x.term, Stamp: r.Stamp}, crquota.Demand{Need: 10, Returned: 10})
+			qt.Assert(t, r.Grants[0].Granted, qt.Equals, x.want)
+		})
+	}
+}
--- a/pkg/crquota/merge.go
+++ b/pkg/crquota/merge.go
@@ -1,13 +1,27 @@
 package crquota
 
 // Merge combines the requests of several nodes into one, with one demand for each organisation under the newest of the limits.
+// Tokens that were granted in an earlier term than others are not returned.
 func Merge(reqs []Request) Request {
 	var out Request
 	index := map[string]int{}
+	for _, r := range reqs {
+		if r.returns() && r.Term > out.Term {
+			out.Term, out.Stamp = r.Term, r.Stamp
+		}
+	}
 	for _, r := range reqs {
 		out.Contacts = append(out.Contacts, r.Contacts...)
+		out.Urgent = out.Urgent || r.Urgent
+		sameTerm := r.Term == out.Term
+		if sameTerm && r.returns() {
+			out.Stamp = min(out.Stamp, r.Stamp)
+		}
 		for _, d := range r.Demands {
 			d.Need, d.Spare = min(d.Need, maxNeed), min(d.Spare, maxNeed)
+			if d.Returned = min(d.Returned, maxNeed); !sameTerm {
+				d.Returned = 0
+			}
 			i, ok := index[d.Organisation]
 			if !ok {
 				index[d.Organisation] = len(out.Demands)
@@ -16,6 +30,7 @@
 			}
 			m := &out.Demands[i]
 			m.Need, m.Spare = min(m.Need+d.Need, maxNeed), min(m.Spare+d.Spare, maxNeed)
+			m.Returned = min(m.Returned+d.Returned, maxNeed)
 			if d.Limit.Version > m.Limit.Version {
 				m.Limit = d.Limit
 			}
--- a/pkg/crquota/owner.go
+++ b/pkg/crquota/owner.go
@@ -15,6 +15,11 @@
 	maxScans = 12
 	// askWindow is the time over which demands compete for a balance; each coordinator asks once in it.
 	askWindow = 20 * time.Millisecond
+	// sparePart is the share of the burst that a balance keeps when it gives spare tokens. Nodes return them if they are not
+	// spent, and take none of an organisation that is idle.
+	sparePart = 0.5
+	// returnWithin is the time after their grant in which tokens can be returned. Later ones would count for another window.
+	returnWithin = 500 * time.Millisecond
 )
 
 // Owner holds the balances of all organisations during one term of the leader of the log. Create it with NewOwner when the
@@ -35,8 +40,9 @@
 	granting float64
 	at       time.Time
 	// floor is the value of granting from which the balances of organisations grow that the owner does not hold.
-	floor    float64
-	balances *simplelru.LRU[string, *balance]
+	floor     float64
+	balances  *simplelru.LRU[string, *balance]
+	sequences Sequences
 }
 
 // ownerNode is a node as the owner knows it. contact is the time of the last answer that is known to have reached it, and
@@ -75,8 +81,8 @@
 	return len(o.nodes), o.balances.Len(), o.withheld
 }
 
-// Acquire grants tokens. The caller must discard the reply if it no longer holds the lease of its term afterwards.
-func (o *Owner) Acquire(now time.Time, req Request) Reply {
+// Acquire grants tokens to a coordinator. The caller must discard the reply if it no longer holds the lease of its term afterwards.
+func (o *Owner) Acquire(now time.Time, coordinator string, req Request) Reply {
 	if now.Before(o.at) {
 		now = o.at
 	}
@@ -94,7 +100,12 @@
 			n.nodes = r.Nodes
 		}
 	}
+	granted := o.start.Add(req.Stamp)
+	returnable := o.sequences.Fresh(coordinator, req.Sequence) && req.Term == o.term && !granted.After(now) && now.Sub(granted) <= returnWithin
 	for _, d := range req.Demands {
+		if !returnable {
+			d.Returned = 0
+		}
 		if d.Limit.valid() {
 			r.Grants = append(r.Grants, o.grant(now, d))
 		}
@@ -178,6 +189,7 @@
 	b := o.balance(d)
 	rate, burst, capacity := b.limit.bucket()
 	b.refill(o.granting)
+	b.level = min(capacity, b.level+float64(min(d.Returned, maxNeed)))
 	need := float64(min(d.Need, maxNeed))
 	b.asked = b.asked*math.Exp(-now.Sub(b.askedAt).Seconds()/askWindow.Seconds()) + need
 	b.askedAt = now
@@ -190,7 +202,7 @@
 	}
 	granted = min(granted, math.Floor(b.level))
 	b.level -= granted
-	spare := min(math.Floor(max(0, b.level-burst)), float64(min(d.Spare, maxNeed)))
+	spare := min(math.Floor(max(0, b.level-sparePart*burst)), float64(min(d.Spare, maxNeed)))
 	b.level -= spare
 	g := Grant{Organisation: d.Organisation, Granted: uint32(granted), Spare: uint32(spare)}
 	if granted < need {
--- a/pkg/crquota/wallet.go
+++ b/pkg/crquota/wallet.go
@@ -17,14 +17,16 @@
 	// expected to be spent, and for spare tokens alone. They save most of the messages at ordinary load.
 	refillInterval = 100 * time.Millisecond
 	spareInterval  = 150 * time.Millisecond
+	// renewBefore is how long before their expiry tokens are replaced, and returnBefore when they are returned: the
+	// replacement has arrived by then, and a message leaves at least every spareInterval.
+	renewBefore  = 250 * time.Millisecond
+	returnBefore = 150 * time.Millisecond
+	// spareMemory is how long after its last request an organisation is given spare tokens. Later its burst is complete again.
+	spareMemory = 3 * time.Second
 	// maxPending bounds the requests without an answer; an older one is given up by its sender before its tokens expire.
 	maxPending = 4
-	// fastMemory and slowMemory are the time constants of the two estimates of an organisation's demand. The fast one decides
-	// how many tokens a busy organisation needs, the slow one which organisations hold a spare token.
-	fastMemory = 500 * time.Millisecond
-	slowMemory = 10 * time.Second
-	// minSlowRate is the rate, in requests per second, below which no token is held in advance.
-	minSlowRate = 0.05
+	// demandMemory is the time constant of the estimate of an organisation's demand.
+	demandMemory = 500 * time.Millisecond
 	// minExpected is the number of requests expected within the horizon from which they count as need: with fewer, more tokens
 	// would expire than be spent.
 	minExpected = 1.0
@@ -78,18 +80,20 @@
 	pending    int
 }
 
-// lot is a number of tokens that expire at the same time.
+// lot is a number of tokens of one grant. The term and the stamp are those of the reply; the term is 0 if it is not known.
 type lot struct {
 	count   uint32
 	expires time.Time
+	term    uint64
+	stamp   time.Duration
 }
 
 // account is the state of one organisation.
 type account struct {
 	limit Limit
 	// lots are in the order of their expiry.
-	lots       []lot
-	fast, slow decayingRate
+	lots   []lot
+	demand decayingRate
 	// waiting counts the requests that wait for a token, pending the tokens that were asked for without an answer yet.
 	waiting int
 	pending uint32
@@ -108,7 +112,7 @@
 	}
 	a, ok := w.accounts.Get(org)
 	if !ok {
-		a = &account{fast: decayingRate{memory: fastMemory}, slow: decayingRate{memory: slowMemory}}
+		a = &account{demand: decayingRate{memory: demandMemory}}
 		w.accounts.Add(org, a)
 	}
 	if l.Version >= a.limit.Version {
@@ -121,8 +125,7 @@
 // Take takes a token for a new request.
 func (w *Wallet) Take(now time.Time, org string, l Limit) Decision {
 	a := w.account(org, l)
-	a.fast.add(now)
-	a.slow.add(now)
+	a.demand.add(now)
 	if expires, ok := a.spend(now); ok {
 		return Decision{Expires: expires}
 	}
@@ -146,7 +149,7 @@
 // Return gives a token back that was not used; it is spent by another request unless it has expired.
 func (w *Wallet) Return(now time.Time, org string, expires time.Time) {
 	if a, ok := w.peek(org); ok && now.Before(expires) {
-		a.add(lot{1, expires})
+		a.add(lot{count: 1, expires: expires})
 	}
 }
 
@@ -209,6 +212,7 @@
 	if since < interval {
 		return Request{}, false
 	}
+	w.returnTokens(now, &r)
 	for _, d := range r.Demands {
 		if a, ok := w.peek(d.Organisation); ok {
 			a.pending += d.Need + d.Spare
@@ -219,6 +223,44 @@
 	return r, true
 }
 
+// returnTokens adds the tokens to a request that would expire before they are likely to be spent.
+func (w *Wallet) returnTokens(now time.Time, r *Request) {
+	index := make(map[string]int, len(r.Demands))
+	for i, d := range r.Demands {
+		index[d.Organisation] = i
+	}
+	r.Sequence, r.Term, r.Stamp = uint64(now.UnixNano()), w.contact.Term, w.contact.Stamp
+	for org, a := range w.active {
+		n, stamp := a.takeOld(now, r.Term)
+		if n == 0 {
+			continue
+		}
+		r.Stamp = min(r.Stamp, stamp)
+		i, ok := index[org]
+		if !ok {
+			i = len(r.Demands)
+			r.Demands = append(r.Demands, Demand{Organisation: org, Limit: a.limit})
+		}
+		r.Demands[i].Returned = n
+	}
+}
+
+// takeOld removes the tokens of a term that expire within returnBefore and returns their number and the oldest stamp. While
+// requests wait there are none.
+func (a *account) takeOld(now time.Time, term uint64) (n uint32, stamp time.Duration) {
+	stamp = math.MaxInt64
+	for i := range a.lots {
+		l := &a.lots[i]
+		if l.term != term || !now.Before(l.expires) || l.expires.Sub(now) > returnBefore {
+			continue
+		}
+		n += l.count
+		stamp = min(stamp, l.stamp)
+		l.count = 0
+	}
+	return n, stamp
+}
+
 // Answer stores the tokens of an answer to a request that was sent at the given time.
 func (w *Wallet) Answer(now, sent time.Time, req Request, r Reply) {
 	w.settle(req)
@@ -239,7 +281,7 @@
 			a.noSpareUntil = now.Add(spareRetry)
 		}
 		if expires := sent.Add(w.Lifetime); g.Granted+g.Spare > 0 && now.Before(expires) {
-			a.add(lot{g.Granted + g.Spare, expires})
+			a.add(lot{count: g.Granted + g.Spare, expires: expires, term: r.Term, stamp: r.Stamp})
 		}
 		if g.Wait > 0 {
 			a.refuseUntil, a.retryAt = now.Add(MinWait), now.Add(g.Wait)
@@ -264,22 +306,21 @@
 // need returns the number of tokens to ask for, the number of spare ones, and how long after the last message they are to be
 // asked for. Spare tokens make up for arrivals at random times, so that few requests have to wait.
 func (a *account) need(now time.Time) (need, spare uint32, within time.Duration) {
-	expected, slow := a.fast.perSecond(now)*horizon.Seconds(), a.slow.perSecond(now)
-	reserve := 0.0
-	if slow >= minSlowRate && !now.Before(a.noSpareUntil) {
-		reserve = max(expected, slow*horizon.Seconds())
-		reserve = max(reserve+math.Sqrt(reserve), 1)
+	expected, reserve := a.demand.perSecond(now)*horizon.Seconds(), 0.0
+	if now.Sub(a.demand.last) < spareMemory && !now.Before(a.noSpareUntil) {
+		reserve = max(expected+math.Sqrt(expected), 1)
 	}
 	if expected < minExpected {
 		expected = 0
 	}
-	held := float64(a.held(now.Add(MinWait)) + a.pending)
+	held := float64(a.held(now.Add(renewBefore)) + a.pending)
+	usable := float64(a.held(now) + a.pending)
 	waiting := float64(a.waiting)
 	needed := min(math.Ceil(max(0, waiting+expected-held)), maxNeed)
 	more := min(math.Ceil(max(0, waiting+reserve-held-needed)), maxNeed)
 	within = keepAlive
 	switch {
-	case waiting > held:
+	case waiting > usable:
 		within = MinWait
 	case held < askBelow*expected:
 		within = refillInterval
@@ -289,8 +330,9 @@
 	return uint32(needed), uint32(more), within
 }
 
+// idle reports whether nothing of the account is left to do.
 func (a *account) idle(now time.Time) bool {
-	return a.waiting == 0 && a.pending == 0 && a.slow.perSecond(now) < minSlowRate && a.fast.perSecond(now)*horizon.Seconds() < minExpected
+	return a.waiting == 0 && a.pending == 0 && now.Sub(a.demand.last) >= spareMemory && a.held(now) == 0
 }
 
 // held returns the number of tokens that can still be spent at a time.
@@ -367,11 +409,14 @@
 	memory time.Duration
 	count  float64
 	at     time.Time
+	// last is the time of the last event.
+	last time.Time
 }
 
 func (r *decayingRate) add(now time.Time) {
 	r.decay(now)
 	r.count++
+	r.last = now
 }
 
 func (r *decayingRate) decay(now time.Time) {
--- a/pkg/crquota/world_test.go
+++ b/pkg/crquota/world_test.go
@@ -28,6 +28,7 @@
 	nodes  []*worldNode
 	// queues holds the requests that wait at each coordinator.
 	queues [][]ticket
+	seen   map[int]*crquota.Sequences
 	owner  *crquota.Owner
 	term   uint64
 	limit  crquota.Limit
@@ -67,7 +68,7 @@
 func newWorld(seed uint64, nodes, coordinators int, l crquota.Limit) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), events: map[time.Time][]func(){}, queues: make([][]ticket, coordinators), limit: l,
-		byNode: map[int]int{},
+		byNode: map[int]int{}, seen: map[int]*crquota.Sequences{},
 	}
 	for i := range nodes {
 		n := &worldNode{world: w, name: fmt.Sprint("n", i), limit: l, index: i, coordinator: i % coordinators, next: w.rnd.Float64()}
@@ -156,11 +157,13 @@
 		requests[i] = t.request
 	}
 	turn := w.rnd.IntN(100)
+	merged := crquota.Merge(requests)
+	merged.Sequence = uint64(w.now.UnixNano())
 	w.transmit(func() {
 		if w.owner == nil {
 			return
 		}
-		r := w.owner.Acquire(w.now, crquota.Merge(requests))
+		r := w.owner.Acquire(w.now, fmt.Sprint(coordinator), merged)
 		w.transmit(func() {
 			for i, part := range crquota.Split(requests, r, turn) {
 				tickets[i].reply(part)
@@ -219,12 +222,19 @@
 			wallet.Failed(req)
 		}
 	})
-	named := crquota.Request{Demands: req.Demands, Contacts: []crquota.Contact{req.Contacts[0]}, Urgent: req.Urgent}
-	named.Contacts[0].Node = n.name
 	w.transmit(func() {
 		if w.now.Before(n.cutUntil) {
 			return
 		}
+		named := req
+		named.Demands, named.Contacts = slices.Clone(req.Demands), slices.Clone(req.Contacts)
+		named.Contacts[0].Node = n.name
+		if w.seen[n.coordinator] == nil {
+			w.seen[n.coordinator] = &crquota.Sequences{}
+		}
+		if !w.seen[n.coordinator].Fresh(n.name, req.Sequence) {
+			named.DropReturned()
+		}
 		w.queues[n.coordinator] = append(w.queues[n.coordinator], ticket{named, func(r crquota.Reply) {
 			w.transmit(func() {
 				if answered || w.now.Before(n.cutUntil) || w.now.Before(n.deafUntil) || wallet != n.wallet {
