--- a/pkg/crquota/crquota_test.go
+++ b/pkg/crquota/crquota_test.go
@@ -137,9 +137,9 @@
 }
 
 // TestFaults guards, for one fault each, against more requests than the quota allows, and against requests refused for longer
-// than the fault requires. Demand is three times the quota throughout.
+// than the fault requires. Demand is six times the quota: with a small burst throughout, with a large one from 1 s before the
+// fault on, when that burst has been spent.
 func TestFaults(t *testing.T) {
-	l := crquota.Limit{Rate: 300, Burst: 900, Version: 1}
 	cut := func(w *world, nodes int) {
 		for _, n := range w.nodes[:nodes] {
 			n.cutUntil = w.now.Add(8 * time.Second)
@@ -176,15 +176,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			for seed := range uint64(5) {
+			for seed := range uint64(6) {
+				l, idle := crquota.Limit{Rate: 300, Burst: 30, Version: 1}, time.Duration(0)
+				if seed%2 == 1 {
+					l.Burst, idle = 1200, 4*time.Second
+				}
 				w := newWorld(seed, 51, 4, l)
+				w.advance(idle, func(int) float64 { return 0 })
 				demand := func(i int) float64 {
 					if i < w.killed {
 						return 0
 					}
-					return 3 * l.Rate / 51
+					return 6 * l.Rate / 51
 				}
-				w.advance(4*time.Second, demand)
+				w.advance(5*time.Second-idle, demand)
 				fault.inject(w)
 				w.advance(2*time.Second, demand)
 				before := len(w.ran)
@@ -229,3 +234,37 @@
 	_, ok = w.Spend(now, organisation)
 	c.Assert(ok, qt.IsFalse, qt.Commentf("the answer came after the time of its tokens"))
 }
+
+// TestReturned guards against returned tokens that count twice or for another window: those of a message that arrives twice, too
+// late, or at the owner of another term.
+func TestReturned(t *testing.T) {
+	l := crquota.Limit{Rate: 1, Burst: 10, Version: 1}
+	for name, x := range map[string]struct {
+		after    time.Duration
+		sequence uint64
+		term     uint64
+		want     uint32
+	}{
+		"in time": {300 * time.Millisecond, 2, 1, 10}, "again": {300 * time.Millisecond, 1, 1, 0}, "late": {600 * time.Millisecond, 2, 1, 0},
+		"other term": {300 * time.Millisecond, 2, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			o := crquota.NewOwner(start, 1)
+			ask := func(now time.Time, r crquota.Request, d crquota.Demand) crquota.Reply {
+				d.Organisation, d.Limit = organisation, l
+				r.Demands = []crquota.Demand{d}
+				r.Contacts = []crquota.Contact{{Node: "n", Term: 1, Stamp: now.Sub(start)}}
+				return o.Acquire(now, "c", r)
+			}
+			for s := range 20 {
+				ask(start.Add(time.Duration(s)*time.Second/2), crquota.Request{}, crquota.Demand{})
+			}
+			now := start.Add(10500 * time.Millisecond)
+			r := ask(now, crquota.Request{Sequence: 1}, crquota.Demand{Need: 10})
+			qt.Assert(t, r.Grants[0].Granted, qt.Equals, uint32(10))
+			r = ask(now.Add(x.after), crquota.Request{Sequence: x.sequence, Term: x.term, Stamp: r.Stamp}, crquota.Demand{Need: 10, Returned: 10})
+			qt.Assert(t, r.Grants[0].Granted, qt.Equals, x.want)
+		})
+	}
+}
