crspeed, crforward, crlimiter: the gate's limit and pressure follow the server

Cause: the gate's limit was 94% of the slots whatever the server, its pressure saw a disturbance only after a dozen slow runs, and a false slowness attracted traffic. Change: the gate expects a run to take its lasting time multiplied by the present slowness (the lasting speed is part of its run times and counts once); the limit is the lower of 94% and the concurrency from which more runs only add time. Slowness applies only to the part of a run that does not wait for calls (crcost.OwnShare). Callers compare the present speed like the lasting one, so that a false figure has no effect once the run times have followed; run times with a standard error above 8% are not compared. The router counts latencies without the reported slowness towards ejection.

--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -60,6 +60,8 @@
 	// Seeds are the addresses of coordinators from the settings.
 	Seeds   []string
 	Headers Headers
+	// AlikeServers says that the servers of a service are alike, so that nothing follows from how fast each one works.
+	AlikeServers bool
 	// RetryRatio is the maximum ratio of retries to requests of a service, over all nodes together.
 	RetryRatio float64
 	// Heartbeat is the interval of the backend server's reports.
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -6,6 +6,7 @@
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // Dump returns the state of the node for the admin interface. The field names of the JSON are public.
@@ -35,6 +36,7 @@
 		InFlight int64           `json:"in_flight"`
 		Server   *registration   `json:"server"`
 		Limit    *crlimiter.View `json:"limit"`
+		Speed    *crspeed.View   `json:"speed"`
 		Queued   int             `json:"queued"`
 		Services []serviceView   `json:"services"`
 		Routes   []routeView     `json:"routes"`
@@ -48,6 +50,8 @@
 	if n.gate.limiter != nil {
 		v := n.gate.limiter.View()
 		out.Limit, out.Queued = &v, n.gate.queue.Len()
+		s := n.gate.speed.View(now)
+		out.Speed = &s
 	}
 	n.gate.mu.Unlock()
 	n.services.mu.Lock()
@@ -75,8 +79,16 @@
 
 func (n *Node) declareMetrics() {
 	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
-		"loads_malformed", "speeds_malformed", "suspects", "suspect_waits", "convictions", "quarantine_refused")
+		"loads_malformed", "speeds_malformed", "limit_changes", "suspects", "suspect_waits", "convictions", "quarantine_refused")
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
+	n.Counters.Gauge("server_limit", func() any {
+		if f := n.gate.feedback(); f != nil {
+			return f.Limit
+		}
+		return 0
+	})
+	n.Counters.Gauge("server_slowness", func() any { return n.gate.speedView(time.Now()).Slowness })
+	n.Counters.Gauge("server_acceptance", func() any { return n.gate.speedView(time.Now()).Acceptance })
 	n.Counters.Gauge("config_version", func() any {
 		if t := n.table.Load(); t != nil {
 			return t.Version()
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -118,7 +118,7 @@
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
-	g.speed = &crspeed.Estimator{}
+	g.speed = &crspeed.Estimator{Slots: r.Slots}
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -274,7 +274,7 @@
 		return grant{}, code
 	}
 	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter, speed: g.speed}
-	expectedRun := g.limiter.RunTime(c.route)
+	expectedRun := g.expectedRun(now, c.route)
 	if !c.countedAsDemand {
 		c.countedAsDemand = true
 		g.regulator.RecordArrival(expectedRun, c.rates.Of(c.service))
--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -28,7 +28,7 @@
 
 var headerNames = crforward.Headers{
 	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not-Run",
-	RetryAfter: "Retry-After",
+	RetryAfter: "Retry-After", Load: "X-Load",
 }
 
 // backend is a stand-in for a backend server.
--- a/internal/crforward/regulate.go
+++ b/internal/crforward/regulate.go
@@ -17,6 +17,7 @@
 
 // stepRegulator updates the pressure and logs it if it has changed.
 func (g *gate) stepRegulator(now time.Time) {
+	g.followKnee(now)
 	g.regulator.Tick(now)
 	pressure := g.regulator.Pressure()
 	changed := math.Abs(pressure-g.loggedPressure) >= pressureLogStep
--- a/internal/crforward/run.go
+++ b/internal/crforward/run.go
@@ -9,6 +9,7 @@
 	"github.com/citronramp/citronramp/internal/crexchange"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // forward sends an admitted call to the server and reads its answer.
@@ -26,7 +27,7 @@
 		work = context.WithoutCancel(ctx)
 	}
 	work, cancel := context.WithTimeout(work, left+serverAnswerSlack)
-	begin := gr.speed.Begin(started)
+	begin := gr.speed.Begin(started, gr.limiter.InFlight())
 	resp, err := gr.client.Do(work, g.request(c, gr, left))
 	if err != nil {
 		cancel()
@@ -69,7 +70,9 @@
 		r.length = length
 		gr.tracked.finished(time.Now())
 		if limiterResult(resp.Status) == crlimiter.Success {
-			gr.speed.End(time.Now(), c.route, begin)
+			gr.speed.End(time.Now(), crspeed.Run{
+				Route: c.route, Begin: begin, OwnShare: g.node.ledger.OwnShare(c.route), Running: gr.limiter.InFlight(),
+			})
 		}
 		finish(limiterResult(resp.Status))
 		return r
--- a/internal/crforward/speed.go
+++ b/internal/crforward/speed.go
@@ -62,7 +62,7 @@
 // readSpeed reads the speed of an answer of another node; a node of the release before reports none.
 func (n *Node) readSpeed(h http.Header, r *reply) {
 	line := h.Get(speedHeader)
-	if line == "" {
+	if line == "" || n.Settings.AlikeServers {
 		return
 	}
 	speed, err := parseSpeed(line)
@@ -94,7 +94,7 @@
 	r.load, r.pressure = g.feedback(), g.regulator.Pressure()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.speed != nil {
+	if g.speed != nil && !g.node.Settings.AlikeServers {
 		v := g.speed.Report(now, c.route)
 		r.speed = &v
 	}
@@ -106,5 +106,42 @@
 		return
 	}
 	s.speeds.Observe(server, c.route, r.speed.RunTime)
-	r.load.Speed, r.load.Slowness, r.load.Acceptance = s.speeds.Speed(server), r.speed.Slowness, r.speed.Acceptance
+	r.load.Speed, r.load.Slowness = s.speeds.Speed(server), s.speeds.Slowness(server, r.speed.Slowness)
+	r.load.Acceptance = r.speed.Acceptance
+}
+
+// expectedRun returns the time that a run of a route takes if it starts now. The caller holds the lock.
+//
+// The lasting speed of the server is part of its run times, so that the pressure counts it once. Only the present slowness is
+// added to them.
+func (g *gate) expectedRun(now time.Time, route string) time.Duration {
+	if d, ok := g.speed.Expected(now, route); ok && !g.node.Settings.AlikeServers {
+		return d
+	}
+	return g.limiter.RunTime(route)
+}
+
+// followKnee lowers the limit to the concurrency from which more runs only add time, and raises it again.
+func (g *gate) followKnee(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limiter == nil || g.node.Settings.AlikeServers {
+		return
+	}
+	limit := min(concurrencyLimit(g.speed.Slots), g.speed.Knee(now))
+	if !g.limiter.Bound(now, limit) {
+		return
+	}
+	g.node.Counters.Add("limit_changes", 1)
+	g.grantQueued(now)
+}
+
+// speedView returns the state of the estimate of the server's speed.
+func (g *gate) speedView(now time.Time) crspeed.View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.speed == nil {
+		return crspeed.View{}
+	}
+	return g.speed.View(now)
 }
--- a/pkg/crcost/crcost.go
+++ b/pkg/crcost/crcost.go
@@ -295,6 +295,21 @@
 	return v
 }
 
+// OwnShare returns the mean part of a run's time in which it does not wait for calls, 1 if that is not known.
+func (l *Estimator) OwnShare(kind string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := slices.Index(l.runKinds, kind)
+	if i < 0 || l.solvedRuns[kind] < minRuns {
+		return 1
+	}
+	share := 1.0
+	for j := range l.callKinds {
+		share -= max(l.outstandingPerRun[i][j], 0)
+	}
+	return max(share, 0)
+}
+
 // Top returns at most n services of the vector, the one with the highest cost first.
 func (v Vector) Top(n int) []string {
 	names := slices.SortedFunc(maps.Keys(v), func(a, b string) int {
--- a/pkg/crcost/crcost_test.go
+++ b/pkg/crcost/crcost_test.go
@@ -84,6 +84,11 @@
 	got = l.Cost("upload")
 	qt.Assert(t, got["prices"] < 0.03, qt.IsTrue, qt.Commentf("%v", got))
 	qt.Assert(t, got["photos"] > 0.1 && got["photos"] < 0.18, qt.IsTrue, qt.Commentf("%v", got))
+	share := l.OwnShare("index")
+	qt.Assert(t, share > 0 && share < 0.2, qt.IsTrue, qt.Commentf("%v of the time of index is its own", share))
+	share = l.OwnShare("upload")
+	qt.Assert(t, share > 0.9, qt.IsTrue, qt.Commentf("%v of the time of upload is its own", share))
+	qt.Assert(t, l.OwnShare("other"), qt.Equals, 1.0)
 }
 
 // TestUnknown guards against reported costs of kinds without a successful run.
--- a/pkg/crlimiter/crlimiter.go
+++ b/pkg/crlimiter/crlimiter.go
@@ -254,6 +254,20 @@
 	l.setLimit(now, slots)
 }
 
+// Bound fixes the limit at the given number; it reports whether that is a change.
+func (l *Limiter) Bound(now time.Time, limit int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limit < 1 || limit == l.Min && limit == l.Max {
+		return false
+	}
+	l.integrateInFlight(now)
+	l.Min, l.Max = limit, limit
+	l.state, l.limitBeforeHang = search{}, 0
+	l.setLimit(now, limit)
+	return true
+}
+
 // observe updates the average latency, which follows a slower or faster server within a few answers.
 func (l *Limiter) observe(d time.Duration) {
 	if l.serviceTime == 0 {
--- a/pkg/crlimiter/crlimiter_test.go
+++ b/pkg/crlimiter/crlimiter_test.go
@@ -229,3 +229,24 @@
 		l.Release(now, crlimiter.Sample{Latency: 20 * time.Millisecond})
 	}
 }
+
+// TestBound guards against a limit that does not follow a lower bound, or does not return to a higher one.
+func TestBound(t *testing.T) {
+	c := qt.New(t)
+	l := crlimiter.Limiter{Slots: 20, Min: 20, Max: 20}
+	now := time.Unix(1000, 0)
+	for range 20 {
+		c.Assert(l.Acquire(now), qt.IsTrue)
+	}
+	c.Assert(l.Bound(now, 10), qt.IsTrue)
+	c.Assert(l.Bound(now, 10), qt.IsFalse)
+	c.Assert(l.Bound(now, 0), qt.IsFalse)
+	c.Assert(l.Limit(), qt.Equals, 10)
+	for range 11 {
+		c.Assert(l.Acquire(now), qt.IsFalse)
+		l.Release(now, crlimiter.Sample{Latency: time.Millisecond})
+	}
+	c.Assert(l.Acquire(now), qt.IsTrue)
+	c.Assert(l.Bound(now, 20), qt.IsTrue)
+	c.Assert(l.Acquire(now), qt.IsTrue)
+}
--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -291,13 +291,14 @@
 	return best
 }
 
-// crossing is the cost of a call to another failure domain, as a part of the usual run time of the service.
+// crossing is the cost of a call to another failure domain, as a part of the usual run time of the service: the round trip,
+// at least minCrossing.
 func (r *Router) crossing() float64 {
 	run := r.median(nil, func(s *server) float64 { return s.latency })
 	if run <= 0 {
-		return unknownCrossing
+		return minCrossing
 	}
-	return min(domainRoundTrip.Seconds()/run, 1)
+	return min(max(domainRoundTrip.Seconds()/run, minCrossing), 1)
 }
 
 // affinityServer returns the server of an affinity key: the highest by rendezvous hashing, among the warm servers if
--- a/pkg/crrouter/replay_test.go
+++ b/pkg/crrouter/replay_test.go
@@ -25,6 +25,10 @@
 	speeds bool
 	// domains is the number of failure domains over which servers and callers are spread, zero means one.
 	domains int
+	// clump is the number of calls that arrive at a time, zero means one; from returns the caller that they arrive at, nil
+	// means a random one.
+	clump int
+	from  func(at time.Duration, random *rand.Rand) int
 
 	now     time.Duration
 	pending events
@@ -77,7 +81,7 @@
 	p.random = rand.New(rand.NewPCG(5, 6))
 	var list []crrouter.Server
 	for i := range p.servers {
-		p.gates, p.sent = append(p.gates, &backend{}), append(p.sent, make([]int, long/(100*time.Millisecond)+1))
+		p.gates, p.sent = append(p.gates, &backend{speed: crspeed.Estimator{Slots: p.slots}}), append(p.sent, make([]int, long/(100*time.Millisecond)+1))
 		list = append(list, crrouter.Server{ID: fmt.Sprint(i), Domain: domain(i, p.domains), Slots: p.slots})
 	}
 	for i := range p.callers {
@@ -87,9 +91,16 @@
 	}
 	var arrive func()
 	arrive = func() {
-		p.call(p.nodes[p.random.IntN(p.callers)])
+		clump := max(p.clump, 1)
+		i := p.random.IntN(p.callers)
+		if p.from != nil {
+			i = p.from(p.now, p.random)
+		}
+		for range clump {
+			p.call(p.nodes[i])
+		}
 		if p.now < long {
-			p.after(time.Duration(p.random.ExpFloat64()/p.rate*float64(time.Second)), arrive)
+			p.after(time.Duration(p.random.ExpFloat64()/p.rate*float64(clump)*float64(time.Second)), arrive)
 		}
 	}
 	arrive()
@@ -126,7 +137,8 @@
 		p.after(hop, func() {
 			if p.speeds {
 				c.speeds.Observe(picked.ID, "r", report.RunTime)
-				feedback.Speed, feedback.Slowness, feedback.Acceptance = c.speeds.Speed(picked.ID), report.Slowness, report.Acceptance
+				feedback.Speed, feedback.Slowness = c.speeds.Speed(picked.ID), c.speeds.Slowness(picked.ID, report.Slowness)
+				feedback.Acceptance = report.Acceptance
 			}
 			c.router.Done(p.clock(), picked.ID, crrouter.Result{Outcome: outcome, Latency: took, Feedback: feedback})
 			if outcome == crrouter.OK {
@@ -161,7 +173,7 @@
 func (p *replay) start(i int, answer func(crrouter.Outcome, time.Duration)) {
 	const step = 10 * time.Millisecond
 	g, started := p.gates[i], p.now
-	begin := g.speed.Begin(p.clock())
+	begin := g.speed.Begin(p.clock(), g.running)
 	left := time.Duration(float64(p.run) * (0.5 + p.random.Float64()))
 	var advance func()
 	advance = func() {
@@ -176,7 +188,7 @@
 			if v := factor(p.reported, i, p.now, 0); v > 0 {
 				g.speed.RecordLoad(p.clock(), crspeed.Load{Running: g.running, Slots: p.slots, Slowness: v})
 			}
-			g.speed.End(p.clock(), "r", begin)
+			g.speed.End(p.clock(), crspeed.Run{Route: "r", Begin: begin, OwnShare: 1, Running: g.running + 1})
 			answer(crrouter.OK, p.now-started)
 			p.next(i)
 		})
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -17,10 +17,11 @@
 	feedbackExpiry = time.Second
 	// loadedScore is the load from which servers in other failure domains are considered.
 	loadedScore = 0.7
-	// domainRoundTrip is the round trip to another failure domain (1 to 1.5 ms one way). unknownCrossing is its cost in run
-	// times while the run time of the service is not known.
+	// domainRoundTrip is the round trip to another failure domain (1 to 1.5 ms one way). minCrossing is the least advantage, in
+	// run times, of a server there: with less, callers that hear late of each other's calls move between domains at the
+	// same time.
 	domainRoundTrip = 2800 * time.Microsecond
-	unknownCrossing = 0.25
+	minCrossing     = 0.25
 	// queueScore is the load from which a further call is expected to wait, and queueCost the weight of the load above it. A
 	// queue also delays the calls behind it, so that a free slot of a slow server is better than a queue at a fast one.
 	queueScore = 0.9
@@ -201,7 +202,8 @@
 	case OK:
 		s.failures, s.timeouts, s.unreachable = 0, 0, 0
 		s.updateErrorRate(0)
-		s.updateLatency(res.Latency.Seconds())
+		// A server that reports that it works slowly at present is left by its speed and not ejected for it.
+		s.updateLatency(res.Latency.Seconds() / max(s.feedback.Slowness, 1))
 	case TimedOut:
 		s.timeouts++
 		s.recordFailure()
--- a/pkg/crrouter/speed_test.go
+++ b/pkg/crrouter/speed_test.go
@@ -1,6 +1,7 @@
 package crrouter_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -126,3 +127,53 @@
 	}
 	c.Check(counts["s1"] > 0, qt.IsTrue)
 }
+
+// TestLyingServer guards against a server that reports that it works five times faster and attracts the traffic: it gets at
+// most twice the share of the others, and after a second what its runs show.
+func TestLyingServer(t *testing.T) {
+	c := qt.New(t)
+	const servers, begin = 6, 5 * time.Second
+	p := &replay{
+		callers: 40, slots: 40, run: 40 * time.Millisecond, servers: servers, speeds: true, rate: 0.6 * servers * 40 / 0.04,
+		reported: func(s int, at time.Duration) float64 {
+			if s == 0 && at >= begin {
+				return 0.2
+			}
+			return 1
+		},
+	}
+	p.play(10 * time.Second)
+	for at := begin; at < begin+time.Second; at += 200 * time.Millisecond {
+		share := p.share(0, at, at+200*time.Millisecond)
+		c.Check(share <= 2.0/servers, qt.IsTrue, qt.Commentf("%.3f at %v", share, at))
+	}
+	for at := begin + time.Second; at < 10*time.Second; at += 500 * time.Millisecond {
+		share := p.share(0, at, at+500*time.Millisecond)
+		c.Check(share <= 1.25/servers, qt.IsTrue, qt.Commentf("%.3f at %v", share, at))
+	}
+}
+
+// TestMovingClients guards against a queue in the domain in which the clients are, while servers of other domains are idle: a
+// round trip costs 3 ms, a place in the queue a part of a run.
+func TestMovingClients(t *testing.T) {
+	for _, run := range []time.Duration{15 * time.Millisecond, 40 * time.Millisecond, 390 * time.Millisecond} {
+		c := qt.New(t)
+		const domains, callers, slots = 4, 16, 40
+		p := &replay{
+			callers: callers, slots: slots, run: run, servers: domains, domains: domains, speeds: true, clump: 8,
+			rate: 0.55 * domains * slots / run.Seconds(),
+			from: func(at time.Duration, random *rand.Rand) int {
+				// Seven of eight clients are in one domain, which changes every second.
+				if i := random.IntN(callers / domains); random.IntN(8) > 0 {
+					return i*domains + int(at/time.Second)%domains
+				}
+				return random.IntN(callers)
+			},
+		}
+		p.play(12 * time.Second)
+		// A run takes 1.5 times its mean at most; the rest of twice the mean is for the way and the queue.
+		target := 2 * run
+		t.Logf("run %v: mean %v, %.3f over the target", run, p.mean(), p.over(target))
+		c.Check(p.over(target) <= 0.05, qt.IsTrue, qt.Commentf("%.3f of runs of %v over the target", p.over(target), run))
+	}
+}
