crspeed: lasting run times over 10 s, differences up to a tenth count as none

Cause: with exponentially distributed run times, 5 s at 20 runs per second give the mean within 10%, which is above the error that a comparison allows, so that quiet services were never compared; an answer with status 421 counted as accepted. Change: the lasting mean covers 10 s, the margin is 10%; 421 counts neither way.

--- a/internal/crforward/run.go
+++ b/internal/crforward/run.go
@@ -41,7 +41,9 @@
 		g.release(gr, crlimiter.Sample{Kind: c.route, Latency: r.took, Queued: waited, Result: result})
 	}
 	notRun := resp.Header.Get(g.node.Settings.Headers.NotRun) != ""
-	g.recordAnswer(time.Now(), gr, resp.Header, notRun)
+	if resp.Status != http.StatusMisdirectedRequest {
+		g.recordAnswer(time.Now(), gr, resp.Header, notRun)
+	}
 	if notRun || resp.Status == http.StatusMisdirectedRequest {
 		if resp.Status == http.StatusMisdirectedRequest {
 			g.markDown(gr, started.Add(g.node.Settings.Heartbeat))
--- a/pkg/crspeed/comparison.go
+++ b/pkg/crspeed/comparison.go
@@ -17,7 +17,7 @@
 	MaxSpeed = 2.0
 	minSpeed = 0.1
 	// alike is the difference of run times that counts as none: the noise of the means of servers that are alike.
-	alike = 1.08
+	alike = 1.1
 	// smallDifference is added to compared run times, in seconds: differences of this size come from the machines on which
 	// servers run and are no reason to prefer one.
 	smallDifference = 0.003
--- a/pkg/crspeed/crspeed.go
+++ b/pkg/crspeed/crspeed.go
@@ -12,9 +12,9 @@
 const (
 	// maxRoutes bounds the routes with figures of their own; runs of further ones are not measured.
 	maxRoutes = 32
-	// lastingPeriod is the time over which lasting run times are averaged. At 20 runs per second it covers 100 runs, which
-	// give the mean within 10%.
-	lastingPeriod = 5 * time.Second
+	// lastingPeriod is the time over which lasting run times are averaged. At 20 runs per second it covers 200 runs; if run
+	// times are exponentially distributed, they give the mean within 7%.
+	lastingPeriod = 10 * time.Second
 	// baselinePeriod is the time over which the run times are averaged with which those at each concurrency are compared.
 	baselinePeriod = time.Minute
 	// recentPeriod is the time over which recent run times are averaged, so that a false or missing slowness is corrected
