--- a/internal/crforward/node_test.go
+++ b/internal/crforward/node_test.go
@@ -28,7 +28,7 @@
 
 var headerNames = crforward.Headers{
 	RequestID: "X-Id", Timeout: "X-Left", Caller: "X-Caller", ExpectServer: "X-Expect", NotRun: "X-Not-Run",
-	RetryAfter: "Retry-After", Key: "X-Key", Organisation: "X-Organisation",
+	RetryAfter: "Retry-After", Key: "X-Key", Organisation: "X-Organisation", Load: "X-Load",
 }
 
 // backend is a stand-in for a backend server.
--- a/internal/crforward/regulate.go
+++ b/internal/crforward/regulate.go
@@ -19,6 +19,7 @@
 
 // stepRegulator updates the pressure and logs it if it has changed.
 func (g *gate) stepRegulator(now time.Time) {
+	g.followKnee(now)
 	g.regulator.Tick(now)
 	refused := g.stepRefusals(now)
 	pressure := g.regulator.Pressure()
