--- a/internal/crreplay/crreplay_test.go
+++ b/internal/crreplay/crreplay_test.go
@@ -159,3 +159,15 @@
 	t.Logf("chains finished by retry ratio: %v", finished)
 	qt.Assert(t, finished[0.2] > finished[0.05], qt.IsTrue)
 }
+
+// TestRefusingMiddle replays refusals where most of the work is of the middle one of three priorities. It guards against chains of
+// that priority that are served less often than the shorter chains of the least important one.
+func TestRefusingMiddle(t *testing.T) {
+	l := read(t, "refusing_middle.toml")
+	x := l.Run(1)
+	t.Logf("\n%s", x)
+	lookup, statement, post := x.Row("lookup"), x.Row("statement"), x.Row("post")
+	qt.Assert(t, served(lookup) >= served(statement)-0.05, qt.IsTrue)
+	qt.Assert(t, served(statement) >= served(post)-0.05, qt.IsTrue, qt.Commentf("%.3f and %.3f", served(statement), served(post)))
+	qt.Assert(t, served(post) >= 0.25, qt.IsTrue)
+}
--- a/pkg/crshed/refusals.go
+++ b/pkg/crshed/refusals.go
@@ -8,9 +8,12 @@
 
 // Parameters of Refusals.
 const (
-	// refusalTimeConstant is the time constant of the counts of accepted and refused runs. It averages over a few hundred runs
-	// of a busy server, and follows a change within about half a second.
-	refusalTimeConstant = 150 * time.Millisecond
+	// refusalTimeConstant is the time constant of the counts of accepted and refused runs at a busy server, where it follows a
+	// change within a few steps. rareTimeConstant is that at a server with few runs, which needs more time for enough of them.
+	refusalTimeConstant = 80 * time.Millisecond
+	rareTimeConstant    = 300 * time.Millisecond
+	// busyRuns is the decayed number of runs from which a server counts as busy; the error of the share is a tenth then.
+	busyRuns = 25.0
 	// minRefusals is the decayed number of refused runs, and refusalsBegin the share of refused runs, from which a server counts
 	// as refusing. A lightly loaded server that refuses a few runs does not reach them.
 	minRefusals   = 8.0
@@ -31,11 +34,31 @@
 
 // Refusals estimates the share of runs that one server refuses although it has free slots.
 type Refusals struct {
-	mu                sync.Mutex
-	accepted, refused float64
-	share             float64
-	refusing          bool
-	at                time.Time
+	mu sync.Mutex
+	// recent decays with refusalTimeConstant, all with rareTimeConstant.
+	recent, all runOutcomes
+	share       float64
+	refusing    bool
+	at          time.Time
+}
+
+// runOutcomes holds decayed numbers of runs.
+type runOutcomes struct{ accepted, refused float64 }
+
+func (o *runOutcomes) record(refused bool) {
+	if refused {
+		o.refused++
+	} else {
+		o.accepted++
+	}
+}
+
+func (o *runOutcomes) runs() float64 { return o.accepted + o.refused }
+
+func (o *runOutcomes) decay(dt, constant time.Duration) {
+	keep := 1 - averageWeight(dt, constant)
+	o.accepted *= keep
+	o.refused *= keep
 }
 
 // Record counts a run that the server accepted or refused while the given number of its limit was in use.
@@ -45,11 +68,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if refused {
-		r.refused++
-	} else {
-		r.accepted++
-	}
+	r.recent.record(refused)
+	r.all.record(refused)
 }
 
 // Tick updates the share; call it every TickInterval.
@@ -61,20 +81,22 @@
 		dt = 0
 	}
 	r.at = now
-	if runs := r.accepted + r.refused; runs >= minRefusalSamples {
-		r.share = r.refused / runs
-	} else {
+	switch {
+	case r.recent.runs() >= busyRuns:
+		r.share = r.recent.refused / r.recent.runs()
+	case r.all.runs() >= minRefusalSamples:
+		r.share = r.all.refused / r.all.runs()
+	default:
 		r.share *= math.Exp(-dt.Seconds() / refusalMemory.Seconds())
 	}
 	switch {
 	case r.share < refusalsEnd:
 		r.refusing = false
-	case r.share >= refusalsBegin && r.refused >= minRefusals:
+	case r.share >= refusalsBegin && r.all.refused >= minRefusals:
 		r.refusing = true
 	}
-	keep := 1 - averageWeight(dt, refusalTimeConstant)
-	r.accepted *= keep
-	r.refused *= keep
+	r.recent.decay(dt, refusalTimeConstant)
+	r.all.decay(dt, rareTimeConstant)
 }
 
 // Share returns the share of runs that the server refuses; it is zero unless the server counts as refusing.
@@ -91,5 +113,5 @@
 func (r *Refusals) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.accepted, r.refused, r.share, r.refusing, r.at = 0, 0, 0, false, time.Time{}
+	r.recent, r.all, r.share, r.refusing, r.at = runOutcomes{}, runOutcomes{}, 0, false, time.Time{}
 }
--- a/pkg/crshed/refusals_test.go
+++ b/pkg/crshed/refusals_test.go
@@ -36,6 +36,12 @@
 	qt.Assert(t, falling[4], qt.Equals, 0.0, qt.Commentf("%v", falling))
 }
 
+// TestRefusalsOfRareRuns guards against refusals that are not noticed at a server with few runs per step.
+func TestRefusalsOfRareRuns(t *testing.T) {
+	shares := refuse(&crshed.Refusals{}, start, 20, 3, 4, 10)
+	qt.Assert(t, shares[9] > 0.5 && shares[9] < 0.6, qt.IsTrue, qt.Commentf("%v", shares))
+}
+
 // TestRefusalsOfGoodServers guards against a lower capacity of a server that refuses a few runs, or that is full.
 func TestRefusalsOfGoodServers(t *testing.T) {
 	for name, x := range map[string]struct{ accepted, refused, running int }{
