crforward: a refused request names servers that refuse; a budget for each call

Cause: an operator could not tell a request that is refused for lack of slots from one that is refused because servers of a service refuse runs. Change: the line of a request that is refused at the entrance has the detail servers_refuse. The retry budgets of one call are one type, and fields and counters stand apart from those of other current work.

--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -195,6 +195,7 @@
 	n.services.node = n
 	n.peers.requestID = n.requestID
 	n.board.RetryRatio = n.Settings.RetryRatio
+	n.Counters.Declare("repeated_calls", "server_refusals")
 	n.bodyBudget.limit = n.Settings.MemoryBytes / bodyMemoryShare
 	n.ledger = &crcost.Estimator{Service: n.Settings.Service}
 	n.gate = newGate(n)
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -74,7 +74,7 @@
 )
 
 func (n *Node) declareMetrics() {
-	n.Counters.Declare("answered", "retries", "retries_denied", "repeated_calls", "server_refusals", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
+	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
 		"suspects", "suspect_waits", "convictions", "quarantine_refused")
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
 	n.Counters.Gauge("config_version", func() any {
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -51,7 +51,6 @@
 	downUntil     time.Time
 	reportsMissed bool
 	regulator     *crshed.Regulator
-	refusals      crshed.Refusals
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots crshed.RootRates
 	// repeats counts the runs on the server that are repeats.
@@ -62,6 +61,8 @@
 	loggedPressure   float64
 	loggedRefused    float64
 	pressureLoggedAt time.Time
+	// refusals estimates the share of runs that the server refuses although it has free slots.
+	refusals crshed.Refusals
 }
 
 // waiter is the queue entry of a waiting call.
@@ -117,10 +118,10 @@
 		g.client.Close()
 	}
 	g.refuseQueued(crcode.Leaving)
+	g.refusals.Reset()
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
-	g.refusals.Reset()
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -406,7 +407,7 @@
 	if code != crcode.OK {
 		r := failureReply(code, "")
 		r.origin = c.origin
-		r.waited, r.load, r.pressure, r.refused = waited, g.feedback(), g.regulator.Pressure(), g.refusals.Share()
+		r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
 		r.retryAfter = g.queueDrainTime()
 		return r
 	}
@@ -422,7 +423,7 @@
 	r.downstreamFailed = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.RunEnded(c.route, r.took, succeeded(r))
 	r.origin = c.origin
-	r.waited, r.load, r.pressure, r.refused = waited, g.feedback(), g.regulator.Pressure(), g.refusals.Share()
+	r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
 	return r
 }
 
--- a/internal/crforward/hop.go
+++ b/internal/crforward/hop.go
@@ -66,7 +66,7 @@
 func (n *Node) sendToGate(ctx context.Context, address string, c *call) *reply {
 	if address == n.Settings.Address {
 		r := n.gate.handleCall(ctx, c)
-		r.cost = n.ledger.Cost(c.route)
+		r.cost, r.refused = n.ledger.Cost(c.route), n.gate.refusals.Share()
 		return r
 	}
 	now := n.nowFor(c)
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -125,7 +125,7 @@
 		downstreamFailed = "1"
 	}
 	if r.load != nil {
-		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued) + formatRefused(r.refused)
+		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued) + formatRefused(n.gate.refusals.Share())
 		pressure = strconv.FormatFloat(r.pressure, 'f', 2, 64)
 	}
 	var board, cost []string
--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -35,8 +35,7 @@
 	call    *call
 	route   *crroute.Route
 	service *service
-	// leaf is set if the run of the call is known to make no calls.
-	leaf bool
+	budget  *callBudget
 
 	mu sync.Mutex
 	// tried holds the servers that were picked, sent counts the attempts that reached a server.
@@ -48,11 +47,11 @@
 // reply and the number of attempts.
 func (n *Node) place(ctx context.Context, c *call, route *crroute.Route) (r *reply, attempts int) {
 	s := n.services.get(c.service)
-	p := &placement{node: n, call: c, route: route, service: s, leaf: n.makesNoCalls(c)}
+	p := &placement{node: n, call: c, route: route, service: s, budget: n.budget(s, c)}
 	if n.suspects.verdict(time.Now(), c.fingerprints) == crquarantine.Convicted {
 		return n.quarantineReply(c), 0
 	}
-	p.recordCall(time.Now())
+	p.budget.recordCall(time.Now())
 	for attempts = 1; ; attempts++ {
 		server, err := p.pick(time.Now(), !c.nonRepeatable && attempts == 1)
 		if err != nil {
@@ -189,7 +188,7 @@
 // hedge sends a copy of the call to a second server. It returns nil if the copy was not sent.
 func (p *placement) hedge(ctx context.Context, c *call) *reply {
 	now := time.Now()
-	if ctx.Err() != nil || !c.rewind() || !p.takeRetry(now) {
+	if ctx.Err() != nil || !c.rewind() || !p.budget.Allow(now) {
 		return nil
 	}
 	server, err := p.pick(now, false)
@@ -249,7 +248,7 @@
 	case sent >= p.route.MaxAttempts:
 		return false
 	}
-	if !p.takeRetry(now) {
+	if !p.budget.Allow(now) {
 		p.node.Counters.Add("retries_denied", 1)
 		return false
 	}
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -110,7 +110,8 @@
 	}
 	n.Counters.Add("shed", 1)
 	n.Log.Emit(now, crevent.Failure, crevent.Rejected, crevent.KeyID, c.id, crevent.KeyRoute, c.route, crevent.KeyService, service,
-		crevent.KeyPriority, c.priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, "shed")
+		crevent.KeyPriority, c.priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, "shed",
+		crevent.KeyDetail, n.shedDetail(now, service))
 	return failureReply(crcode.Overloaded, "shed")
 }
 
--- a/internal/crforward/refusals.go
+++ b/internal/crforward/refusals.go
@@ -67,6 +67,14 @@
 	return g.refusals.Share()
 }
 
+// shedDetail returns what an operator should know about the service for which a request was refused.
+func (n *Node) shedDetail(now time.Time, service string) string {
+	if n.board.Refusing(now, service) {
+		return "servers_refuse"
+	}
+	return ""
+}
+
 // storePressure stores the pressure and the refusals that a gate reports for its server.
 func (n *Node) storePressure(now time.Time, service, gate string, r *reply) {
 	n.board.UpdateFromGate(now, service, gate, r.pressure, r.load.InFlight+r.load.Queued)
--- a/internal/crforward/refusals_test.go
+++ b/internal/crforward/refusals_test.go
@@ -15,10 +15,15 @@
 // release, which reads the first three fields of the load only, does not understand.
 func TestRefusedOnHop(t *testing.T) {
 	n := &Node{Settings: Settings{Service: "routing"}, ledger: &crcost.Estimator{}}
+	n.gate = newGate(n)
 	now := time.Now()
+	for i := range 100 {
+		n.gate.refusals.Record(i%20 < 11, 0, 80)
+	}
+	n.gate.refusals.Tick(now)
 	n.board.StoreEntry(now, crshed.Entry{Service: "a=b,c;d", Pressure: 2.5, Refusing: true})
 	n.board.StoreEntry(now, crshed.Entry{Service: "sound", Pressure: 1.5})
-	line := n.formatAnswer(&call{}, &reply{load: &crrouter.Feedback{InFlight: 3, Limit: 80, Queued: 1}, pressure: 0.5, refused: 0.547}, now)
+	line := n.formatAnswer(&call{}, &reply{load: &crrouter.Feedback{InFlight: 3, Limit: 80, Queued: 1}, pressure: 0.5}, now)
 	var r reply
 	qt.Assert(t, parseAnswer(line, &r), qt.IsNil)
 	qt.Assert(t, *r.load, qt.Equals, crrouter.Feedback{InFlight: 3, Limit: 80, Queued: 1})
--- a/internal/crforward/retries.go
+++ b/internal/crforward/retries.go
@@ -7,43 +7,52 @@
 	"github.com/citronramp/citronramp/pkg/crbudget"
 )
 
-// makesNoCalls reports whether the runs of a call are known to make no calls, so that a retry repeats no calls downstream.
-func (n *Node) makesNoCalls(c *call) bool {
+// callBudget decides about the retries of one call.
+type callBudget struct {
+	node    *Node
+	service *service
+	call    *call
+	// leaf is set if the run of the call is known to make no calls, so that a retry repeats no calls downstream.
+	leaf bool
+}
+
+// budget returns the retry budget of a call.
+func (n *Node) budget(s *service, c *call) *callBudget {
 	costs := n.costs.get(c.route).cost
 	_, own := costs[c.service]
-	return own && len(costs) == 1
+	return &callBudget{node: n, service: s, call: c, leaf: own && len(costs) == 1}
 }
 
-// recordCall counts the first attempt of the call for the retry budgets. Calls of the server on this instance are repeats in the
-// proportion in which repeated runs make them.
-func (p *placement) recordCall(now time.Time) {
-	c, gate := p.call, p.node.gate
+// recordCall counts the first attempt of the call. Calls of the server on this instance are repeats in the proportion in which
+// repeated runs make them.
+func (b *callBudget) recordCall(now time.Time) {
+	n, c := b.node, b.call
 	if c.origin != originClients {
-		c.repeat = p.service.allowance.MarkRepeat(gate.repeats.Fraction(func(run string) float64 {
-			return p.node.ledger.OutstandingPerRun(run, c.route)
+		c.repeat = b.service.allowance.MarkRepeat(n.gate.repeats.Fraction(func(run string) float64 {
+			return n.ledger.OutstandingPerRun(run, c.route)
 		}))
 	}
 	if c.repeat {
-		p.node.Counters.Add("repeated_calls", 1)
+		n.Counters.Add("repeated_calls", 1)
 	}
-	p.service.allowance.RecordCall(now, c.repeat)
-	if !p.leaf {
-		p.service.retries.RecordSuccess()
+	b.service.allowance.RecordCall(now, c.repeat)
+	if !b.leaf {
+		b.service.retries.RecordSuccess()
 	}
 }
 
-// takeRetry takes a retry of the call from the budgets and reports whether there was one.
-func (p *placement) takeRetry(now time.Time) bool {
-	if !p.leaf && !p.service.retries.Allow(now) {
+// Allow takes a retry of the call and reports whether there was one.
+func (b *callBudget) Allow(now time.Time) bool {
+	if !b.leaf && !b.service.retries.Allow(now) {
 		return false
 	}
-	return p.service.allowance.Allow(now, p.urgency(now))
+	return b.service.allowance.Allow(now, b.urgency(now))
 }
 
 // urgency returns the urgency of a retry of the call. The work that led to a server's call is lost with it, and the call may belong
 // to the most important requests, so it ranks with these.
-func (p *placement) urgency(now time.Time) crbudget.Urgency {
-	c, ranks := p.call, &p.service.ranks
+func (b *callBudget) urgency(now time.Time) crbudget.Urgency {
+	c, ranks := b.call, &b.service.ranks
 	if c.origin != originClients || ranks.Rank(now, cradmission.Client, c.importance) == ranks.Rank(now, cradmission.Server, 0) {
 		return crbudget.Important
 	}
--- a/internal/crforward/retries_test.go
+++ b/internal/crforward/retries_test.go
@@ -20,11 +20,6 @@
 	}
 }
 
-// placementOn returns a placement of a call on a node with the settings of a test.
-func placementOn(n *Node, c *call) *placement {
-	return &placement{node: n, call: c, service: n.services.get(c.service), leaf: n.makesNoCalls(c)}
-}
-
 func nodeWithBudget() *Node {
 	n := &Node{Settings: Settings{RetryRatio: 0.2}, ledger: &crcost.Estimator{}}
 	n.services.node, n.gate = n, newGate(n)
@@ -55,9 +50,9 @@
 				n.gate.repeats.RunStarted("plan", i < x.repeats)
 			}
 			for i := range 1000 {
-				p := placementOn(n, &call{route: x.route, service: x.service, origin: originServers})
+				b := n.budget(n.services.get(x.service), &call{route: x.route, service: x.service, origin: originServers})
 				at := now.Add(time.Duration(i) * 5 * time.Millisecond)
-				if p.recordCall(at); p.takeRetry(at) {
+				if b.recordCall(at); b.Allow(at) {
 					retries++
 				}
 			}
--- a/pkg/crshed/board.go
+++ b/pkg/crshed/board.go
@@ -146,6 +146,18 @@
 	return p.value(now, b.retryRatio()).value(now)
 }
 
+// Refusing reports whether servers of a service refuse runs although they have free slots.
+func (b *PressureTable) Refusing(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.services[service]
+	if p == nil {
+		return false
+	}
+	v := p.value(now, b.retryRatio())
+	return v.refusing && now.Sub(v.at) <= pressureHold
+}
+
 func (b *PressureTable) retryRatio() float64 {
 	if b.RetryRatio == 0 {
 		return DefaultRetryRatio
