--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -53,8 +53,7 @@
 	reportsMissed bool
 	regulator     *crshed.Regulator
 	// speed estimates how fast the server works.
-	speed    *crspeed.Estimator
-	refusals crshed.Refusals
+	speed *crspeed.Estimator
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots crshed.RootRates
 	// repeats counts the runs on the server that are repeats.
@@ -65,6 +64,8 @@
 	loggedPressure   float64
 	loggedRefused    float64
 	pressureLoggedAt time.Time
+	// refusals estimates the share of runs that the server refuses although it has free slots.
+	refusals crshed.Refusals
 }
 
 // waiter is the queue entry of a waiting call.
@@ -120,11 +121,11 @@
 		g.client.Close()
 	}
 	g.refuseQueued(crcode.Leaving)
+	g.refusals.Reset()
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
 	g.speed = &crspeed.Estimator{Slots: r.Slots}
-	g.refusals.Reset()
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
