crshed: requests that cost a service almost nothing are not shed like chains

Direct requests lowered the smoothed pressure of the service for all, so that important chains were never shed in part. Change: a request that costs a fourth or less of the mean of its priority is shed in proportion; direct requests take their fraction without touching the smoothed pressure.

--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -48,11 +48,19 @@
 		if seconds < minLimitingCost {
 			continue
 		}
-		p := n.pressureFor(now, c, s)
+		p := n.board.Pressure(now, s)
 		if !known {
 			seconds = 0
 		}
 		v, excess := n.admittedFraction(now, c, s, seconds, p)
+		switch {
+		case s == c.service && n.makesNoCalls(c) && n.board.Refusing(now, s):
+			// Unlike a chain such a request is lost with one refused call only, whether others are admitted or not.
+			p = n.board.DirectPressure(now, s)
+			v, excess = n.shares.UnsmoothedFraction(s, c.priority, p), false
+		case seconds > 0:
+			v = n.shares.FractionOfLittle(s, c.priority, time.Duration(seconds*float64(time.Second)), v)
+		}
 		if known && n.services.lacksServers(s) {
 			// The service has no servers. A few requests are still admitted, to find out when the route no longer uses
 			// it.
@@ -65,15 +73,6 @@
 	return share, service, pressure
 }
 
-// pressureFor returns the pressure on a service that limits a request. A request that makes no calls is not refused because the
-// servers of its own service refuse some: unlike a chain it is lost with one call only.
-func (n *Node) pressureFor(now time.Time, c *call, service string) float64 {
-	if service == c.service && n.makesNoCalls(c) {
-		return n.board.DirectPressure(now, service)
-	}
-	return n.board.Pressure(now, service)
-}
-
 // admissionRates returns, for each overloaded service that a route uses, the share of the offered load that is
 // admitted.
 func (n *Node) admissionRates(now time.Time, route *crroute.Route) crshed.Rates {
--- a/pkg/crshed/crshed_test.go
+++ b/pkg/crshed/crshed_test.go
@@ -349,3 +349,37 @@
 	qt.Assert(t, b.Pressure(start.Add(time.Minute), "deep"), qt.Equals, 0.0)
 	qt.Assert(t, b.Entries(start.Add(time.Minute), 4), qt.HasLen, 0)
 }
+
+// TestFractionOfLittle guards against requests that are refused for a service of which they take almost nothing, and against
+// others of their priority that are admitted more.
+func TestFractionOfLittle(t *testing.T) {
+	var a crshed.Admitter
+	for range 100 {
+		a.RecordOffered(start, "deep", 2, 160*time.Millisecond)
+	}
+	for range 30 {
+		a.RecordOffered(start, "deep", 2, 6*time.Millisecond)
+	}
+	qt.Assert(t, a.FractionOfLittle("deep", 2, 6*time.Millisecond, 0.06) > 0.85, qt.IsTrue)
+	qt.Assert(t, a.FractionOfLittle("deep", 2, 160*time.Millisecond, 0.06), qt.Equals, 0.06)
+	qt.Assert(t, a.FractionOfLittle("deep", 2, 60*time.Millisecond, 0.06), qt.Equals, 0.06)
+	qt.Assert(t, a.FractionOfLittle("deep", 2, 6*time.Millisecond, 1), qt.Equals, 1.0)
+	qt.Assert(t, a.FractionOfLittle("other", 2, 6*time.Millisecond, 0.5), qt.Equals, 0.5)
+}
+
+// TestUnsmoothedFraction guards against requests under a lower pressure of their own that lower the smoothed pressure of the
+// service for all others.
+func TestUnsmoothedFraction(t *testing.T) {
+	var a, plain crshed.Admitter
+	now := start
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		for _, x := range []*crshed.Admitter{&a, &plain} {
+			x.RecordOffered(now, "deep", 0, 160*time.Millisecond)
+			x.RecordOffered(now, "deep", 2, 160*time.Millisecond)
+		}
+		qt.Assert(t, a.UnsmoothedFraction("deep", 2, 0.6), qt.Equals, 1.0)
+		qt.Assert(t, a.AdmittedFraction(now, "deep", 0, 5), qt.Equals, plain.AdmittedFraction(now, "deep", 0, 5))
+	}
+	qt.Assert(t, a.AdmittedFraction(now, "deep", 0, 5) < 0.5, qt.IsTrue)
+}
--- a/pkg/crshed/shares.go
+++ b/pkg/crshed/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	// priorities above it for its priority to be shed no more than those. Shedding it first would refuse many requests and
 	// free little capacity.
 	cheapFactor = 2.0
+	// littleFactor is the factor by which a request must cost less of a service than the mean request of its priority for it to be
+	// shed less than those: refusing it frees almost nothing, and a cost that small may be an error of the estimate.
+	littleFactor = 4.0
 	// roundingTolerance is an upper bound of the rounding errors in sums of shares.
 	roundingTolerance = 1e-9
 	// minPresentRequests is the decayed number of requests below which a priority no longer counts as present.
@@ -170,6 +174,40 @@
 	return fractions[min(i, len(fractions)-1)]
 }
 
+// UnsmoothedFraction returns the fraction of a priority to admit under a pressure that holds for some requests only. It does not
+// count for the smoothed pressure of the service.
+func (s *Admitter) UnsmoothedFraction(service string, priority int, pressure float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.mixes[service]
+	if m == nil || len(m.classes) == 0 {
+		return defaultShare(pressure)
+	}
+	fractions := AllocateShares(m.classes, 1/max(pressure, 1))
+	i, _ := m.find(priority)
+	return fractions[min(i, len(fractions)-1)]
+}
+
+// FractionOfLittle returns the fraction to admit of the requests of a priority that need the duration takes of the service, when
+// the given fraction of the priority is admitted. It is larger only for requests that cost littleFactor less than the mean.
+func (s *Admitter) FractionOfLittle(service string, priority int, takes time.Duration, fraction float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.mixes[service]
+	if m == nil || fraction >= 1 {
+		return fraction
+	}
+	i, ok := m.find(priority)
+	if !ok || m.classes[i].Requests == 0 {
+		return fraction
+	}
+	part := takes.Seconds() * m.classes[i].Requests / m.classes[i].Offered
+	if part*littleFactor > 1 {
+		return fraction
+	}
+	return math.Pow(fraction, part)
+}
+
 // TotalAdmittedFraction returns the share of all work offered for a service that is admitted under the pressure.
 func (s *Admitter) TotalAdmittedFraction(now time.Time, service string, pressure float64) float64 {
 	s.mu.Lock()
