crquota: return unspent tokens in time; spare tokens do not delay waiting requests

Cause: a node that was denied spare tokens sent its next message only after 250 ms, so that unspent tokens expired before they were returned, and the balance of an organisation below its quota ran empty. A waiting request did not make a message urgent while spare tokens, which might not be granted, were asked for.

Change: a message is due within 100 ms when tokens can be returned, which begins 200 ms before their expiry. Spare tokens count apart from needed ones.

--- a/pkg/crquota/wallet.go
+++ b/pkg/crquota/wallet.go
@@ -18,9 +18,9 @@
 	refillInterval = 100 * time.Millisecond
 	spareInterval  = 150 * time.Millisecond
 	// renewBefore is how long before their expiry tokens are replaced, and returnBefore when they are returned: the
-	// replacement has arrived by then, and a message leaves at least every spareInterval.
-	renewBefore  = 250 * time.Millisecond
-	returnBefore = 150 * time.Millisecond
+	// replacement has arrived by then, and a message returns them within refillInterval, early enough for the owner.
+	renewBefore  = 300 * time.Millisecond
+	returnBefore = 200 * time.Millisecond
 	// spareMemory is how long after its last request an organisation is given spare tokens. Later its burst is complete again.
 	spareMemory = 3 * time.Second
 	// maxPending bounds the requests without an answer; an older one is given up by its sender before its tokens expire.
@@ -94,9 +94,10 @@
 	// lots are in the order of their expiry.
 	lots   []lot
 	demand decayingRate
-	// waiting counts the requests that wait for a token, pending the tokens that were asked for without an answer yet.
-	waiting int
-	pending uint32
+	// waiting counts the requests that wait for a token. pending and pendingSpare are the tokens that were asked for without an
+	// answer yet; spare ones may not be granted, so no request waits for them.
+	waiting               int
+	pending, pendingSpare uint32
 	// noSpareUntil is the time until which no spare tokens are asked for.
 	noSpareUntil time.Time
 	// refuseUntil is the time until which the balance counts as empty, retryAt the time at which tokens return.
@@ -215,7 +216,8 @@
 	w.returnTokens(now, &r)
 	for _, d := range r.Demands {
 		if a, ok := w.peek(d.Organisation); ok {
-			a.pending += d.Need + d.Spare
+			a.pending += d.Need
+			a.pendingSpare += d.Spare
 		}
 	}
 	w.sentAt = now
@@ -298,7 +300,8 @@
 	w.pending--
 	for _, d := range req.Demands {
 		if a, ok := w.peek(d.Organisation); ok {
-			a.pending -= min(a.pending, d.Need+d.Spare)
+			a.pending -= min(a.pending, d.Need)
+			a.pendingSpare -= min(a.pendingSpare, d.Spare)
 		}
 	}
 }
@@ -317,12 +320,12 @@
 	usable := float64(a.held(now) + a.pending)
 	waiting := float64(a.waiting)
 	needed := min(math.Ceil(max(0, waiting+expected-held)), maxNeed)
-	more := min(math.Ceil(max(0, waiting+reserve-held-needed)), maxNeed)
+	more := min(math.Ceil(max(0, waiting+reserve-held-needed-float64(a.pendingSpare))), maxNeed)
 	within = keepAlive
 	switch {
 	case waiting > usable:
 		within = MinWait
-	case held < askBelow*expected:
+	case held < askBelow*expected || a.held(now) > a.held(now.Add(returnBefore)):
 		within = refillInterval
 	case held < askBelow*reserve:
 		within = spareInterval
@@ -332,7 +335,7 @@
 
 // idle reports whether nothing of the account is left to do.
 func (a *account) idle(now time.Time) bool {
-	return a.waiting == 0 && a.pending == 0 && now.Sub(a.demand.last) >= spareMemory && a.held(now) == 0
+	return a.waiting == 0 && a.pending+a.pendingSpare == 0 && now.Sub(a.demand.last) >= spareMemory && a.held(now) == 0
 }
 
 // held returns the number of tokens that can still be spent at a time.
