--- a/internal/crforward/freshness.go
+++ b/internal/crforward/freshness.go
@@ -41,10 +41,11 @@
 	return f.lease.Within(now, table.Version(), bound)
 }
 
-func (f *freshness) due(now time.Time) bool {
+// ask reports whether a link is to send a request now.
+func (f *freshness) ask(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lease.Due(now)
+	return f.lease.Ask(now)
 }
 
 // applied records that a table has come into force.
@@ -85,11 +86,11 @@
 	return n.Settings.ConfigApply > 0 && (t == nil || t.HasOrganisations())
 }
 
-// confirmFreshness asks the coordinator of a link for the newest version until ctx ends. A link asks only while the last
-// confirmation is older than RequestInterval, so that both links together send about one request in that time.
+// confirmFreshness asks the coordinator of a link for the newest version until ctx ends. Both links together
+// send at most one request in crlease.RequestInterval.
 func (n *Node) confirmFreshness(ctx context.Context, s *crwire.Session) {
 	for ctx.Err() == nil {
-		if n.freshnessWanted() && n.freshness.due(n.Clock()) {
+		if n.freshnessWanted() && n.freshness.ask(n.Clock()) {
 			n.requestFreshness(ctx, s)
 		}
 		// An error means that ctx has ended, which the loop condition checks.
--- a/pkg/crfair/crfair.go
+++ b/pkg/crfair/crfair.go
@@ -205,7 +205,7 @@
 	if d.services == nil {
 		d.accounts, d.services = map[accountKey]*list.Element{}, map[string]*service{}
 	}
-	d.evict(now)
+	d.evictIdle(now)
 	s := d.services[name]
 	if s == nil {
 		if len(d.services) >= maxServices {
@@ -232,6 +232,9 @@
 	key := accountKey{r.Service, r.Organisation}
 	e := d.accounts[key]
 	if e == nil {
+		if len(d.accounts) >= maxAccounts {
+			d.evictLast()
+		}
 		s.accounts++
 		// Within the limit of the allowance.
 		a := &account{key: key, at: now, allowance: math.Inf(1), recent: composition{at: now}}
@@ -268,18 +271,19 @@
 	a.allowance = min(a.allowance, rate*burstTime.Seconds()+burstRequests*work)
 }
 
-// evict removes accounts that have been idle, and the least recently used one at the limit.
-func (d *Divider) evict(now time.Time) {
-	for e := d.recent.Back(); e != nil; e = d.recent.Back() {
-		a := e.Value.(*account)
-		if now.Sub(a.at) < idleTime && len(d.accounts) < maxAccounts {
-			return
-		}
-		d.recent.Remove(e)
-		delete(d.accounts, a.key)
-		if s := d.services[a.key.service]; s != nil {
-			s.accounts = max(s.accounts-1, 0)
-		}
+// evictIdle removes the accounts that have been idle.
+func (d *Divider) evictIdle(now time.Time) {
+	for e := d.recent.Back(); e != nil && now.Sub(e.Value.(*account).at) >= idleTime; e = d.recent.Back() {
+		d.evictLast()
+	}
+}
+
+// evictLast removes the least recently used account.
+func (d *Divider) evictLast() {
+	a := d.recent.Remove(d.recent.Back()).(*account)
+	delete(d.accounts, a.key)
+	if s := d.services[a.key.service]; s != nil {
+		s.accounts = max(s.accounts-1, 0)
 	}
 }
 
--- a/pkg/crlease/crlease.go
+++ b/pkg/crlease/crlease.go
@@ -16,8 +16,8 @@
 	// maxPending limits the replies that wait for their document. One reply arrives each RequestInterval, and a document
 	// follows within a few of them.
 	maxPending = 16
-	// RequestInterval is the least time between two requests while they are answered. Several requests fit into the
-	// shortest bound in use, 2 s, so that some of them may fail.
+	// RequestInterval is the least time between two requests. Several requests fit into the shortest bound in use, 2 s, so
+	// that some of them may fail.
 	RequestInterval = 500 * time.Millisecond
 )
 
@@ -31,6 +31,8 @@
 // restart. It is not safe for concurrent use.
 type Lease struct {
 	current confirmation
+	// asked is when the last request was sent.
+	asked time.Time
 	// pending holds replies with versions that are not in force yet.
 	pending []confirmation
 }
@@ -92,7 +94,12 @@
 	return known && age < time.Duration(driftShare*float64(bound))
 }
 
-// Due reports whether it is time for another request.
-func (l *Lease) Due(now time.Time) bool {
-	return l.current.asOf.IsZero() || now.Sub(l.current.asOf) >= RequestInterval
+// Ask reports whether it is time for another request, and records it in that case. Whether the last one was answered makes no
+// difference, so that a request over a silent link delays none over another one.
+func (l *Lease) Ask(now time.Time) bool {
+	if !l.asked.IsZero() && now.Sub(l.asked) < RequestInterval {
+		return false
+	}
+	l.asked = now
+	return true
 }
--- a/pkg/crlease/crlease_test.go
+++ b/pkg/crlease/crlease_test.go
@@ -45,7 +45,7 @@
 	var l crlease.Lease
 	l.Applied(7)
 	qt.Assert(t, l.Within(at(0), 7, bound), qt.IsFalse)
-	qt.Assert(t, l.Due(at(0)), qt.IsTrue)
+	qt.Assert(t, l.Ask(at(0)), qt.IsTrue)
 }
 
 // TestSuspension guards against a lease that outlives a suspension of the machine.
@@ -53,9 +53,11 @@
 	var l crlease.Lease
 	l.Answered(at(0), 7, 7)
 	qt.Assert(t, l.Within(at(100), 7, bound), qt.IsTrue)
-	qt.Assert(t, l.Due(at(100)), qt.IsFalse)
+	qt.Assert(t, l.Ask(at(0)), qt.IsTrue)
+	qt.Assert(t, l.Ask(at(499)), qt.IsFalse)
+	qt.Assert(t, l.Ask(at(500)), qt.IsTrue, qt.Commentf("the first request was not answered"))
 	qt.Assert(t, l.Within(at(6100), 7, bound), qt.IsFalse)
-	qt.Assert(t, l.Due(at(6100)), qt.IsTrue)
+	qt.Assert(t, l.Ask(at(6100)), qt.IsTrue)
 }
 
 // TestNewerVersion guards against a reply that renews the lease of an older configuration, and against a lease that ends
