--- a/internal/crforward/fairness_test.go
+++ b/internal/crforward/fairness_test.go
@@ -168,6 +168,38 @@
 	}
 }
 
+// TestIdleOrganisation guards against an organisation that was idle for some minutes and is refused as if it exceeded its usual
+// rate.
+func TestIdleOrganisation(t *testing.T) {
+	t.Parallel()
+	const hot, idle = 0, 3
+	r := newReplay(t, 50, true)
+	r.capacity = 1.1 * r.usualWork()
+	r.play(40*time.Second, hot, -1, 1)
+	r.play(3*time.Minute, idle, -1, 0)
+	r.capacity = r.usualWork()
+	r.play(time.Second, hot, -1, 5)
+	r.play(10*time.Second, hot, -1, 5)
+	woken, all := r.fraction(-1, func(o int) bool { return o == idle }), r.fraction(-1, func(o int) bool { return o != hot })
+	qt.Assert(t, woken >= all-tolerance, qt.IsTrue, qt.Commentf("%.3f of %.3f", woken, all))
+}
+
+// TestEntranceStartsInBurst guards against capacity that is not used, or an unequal division, when entrances that know nothing
+// start while all organisations send more than the capacity.
+func TestEntranceStartsInBurst(t *testing.T) {
+	t.Parallel()
+	r := newReplay(t, 10, true)
+	r.capacity = r.usualWork() / 2
+	r.play(time.Second, 0, -1, 1)
+	r.play(10*time.Second, 0, -1, 1)
+	qt.Assert(t, r.admitted >= 0.95*10*r.capacity, qt.IsTrue, qt.Commentf("%.2f of the capacity", r.admitted/10/r.capacity))
+	all := r.fraction(-1, every)
+	for o := range r.parts {
+		own := r.fraction(-1, func(x int) bool { return x == o })
+		qt.Assert(t, own >= all/4 || r.sent[1][o] < 50, qt.IsTrue, qt.Commentf("organisation %d: %.3f of %.3f", o, own, all))
+	}
+}
+
 // TestExcessOnOneRoute guards against a route that is served less than a less important one because one organisation exceeds
 // its usual on it.
 func TestExcessOnOneRoute(t *testing.T) {
--- a/pkg/crfair/crfair.go
+++ b/pkg/crfair/crfair.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Parameters of Divider. They were chosen with the loads of TestExcess, in which entrances see 40 requests a second of 70
+// Parameters of Divider. They were chosen with the replay of crforward, in which entrances see 33 requests a second of 70
 // organisations.
 const (
 	// usualTimeConstant is the time constant of an organisation's usual rate. While a service is short, work above the usual
