crspeed: the knee that the header shows uses its figures as they come

Cause: the slowness was smoothed over 50 ms before it was compared by the number of runs, so that ranges of concurrency that alternate faster showed the same slowness; the probe of an ejected server was judged with the slowness that it reports. Change: each figure counts for the number of runs beside it; probes are judged like other calls. Tests of the knee in the header, with a neighbour, and at the gate.

--- a/internal/crforward/speed_test.go
+++ b/internal/crforward/speed_test.go
@@ -8,10 +8,12 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/citronramp/citronramp/pkg/cradmission"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crrouter"
+	"github.com/citronramp/citronramp/pkg/crshed"
 	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
@@ -82,3 +84,28 @@
 	g.node.Settings.AlikeServers = true
 	about(run)
 }
+
+// TestLimitFollowsKnee guards against a limit that does not follow the server, and against one that stays low.
+func TestLimitFollowsKnee(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &gate{
+		node: &Node{}, speed: &crspeed.Estimator{Slots: 40}, limiter: &crlimiter.Limiter{Slots: 37, Min: 37, Max: 37},
+		queue: &cradmission.Queue{}, regulator: &crshed.Regulator{},
+	}
+	g.followKnee(now)
+	qt.Assert(t, g.limiter.Limit(), qt.Equals, 37)
+	for i := range 12_000 {
+		now = now.Add(time.Millisecond)
+		running, took := 15, 50*time.Millisecond
+		if i/500%2 == 1 {
+			running, took = 35, 150*time.Millisecond
+		}
+		mark := g.speed.Begin(now.Add(-took), running)
+		g.speed.End(now, crspeed.Run{Route: "/r/", Begin: mark, OwnShare: 1, Running: running})
+	}
+	g.followKnee(now)
+	qt.Assert(t, g.limiter.Limit(), qt.Equals, 15)
+	qt.Assert(t, g.node.Counters.Value("limit_changes"), qt.Equals, int64(1))
+	g.followKnee(now.Add(time.Minute))
+	qt.Assert(t, g.limiter.Limit(), qt.Equals, 37)
+}
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -212,8 +212,7 @@
 	case OK:
 		s.failures, s.timeouts, s.unreachable = 0, 0, 0
 		s.updateErrorRate(0)
-		// A server that reports that it works slowly at present is left by its speed and not ejected for it.
-		s.updateLatency(res.Latency.Seconds() / max(s.feedback.Slowness, 1))
+		s.updateLatency(s.usualLatency(res))
 	case TimedOut:
 		s.timeouts++
 		s.recordFailure()
@@ -235,7 +234,7 @@
 
 func (r *Router) recordProbe(now time.Time, s *server, res Result) {
 	s.probing = false
-	if res.Outcome != OK || r.slow(s, res.Latency.Seconds()) {
+	if res.Outcome != OK || r.slow(s, s.usualLatency(res)) {
 		s.goodProbes = 0
 		s.extendEjection(now)
 		return
@@ -341,6 +340,12 @@
 	s.errorRate += 0.1 * (bad - s.errorRate)
 }
 
+// usualLatency returns the latency of a call in seconds without the present slowness of the server: one that reports that it
+// works slowly gets less traffic for it and is not ejected.
+func (s *server) usualLatency(res Result) float64 {
+	return res.Latency.Seconds() / max(s.feedback.Slowness, 1)
+}
+
 func (s *server) updateLatency(latency float64) {
 	if s.latency == 0 {
 		s.latency = latency
--- a/pkg/crrouter/speed_test.go
+++ b/pkg/crrouter/speed_test.go
@@ -183,3 +183,17 @@
 		c.Check(p.over(target) <= 0.05, qt.IsTrue, qt.Commentf("%.3f of runs of %v over the target", p.over(target), run))
 	}
 }
+
+// BenchmarkPickUneven selects among servers that differ in speed, with reports as they arrive.
+func BenchmarkPickUneven(b *testing.B) {
+	b.ReportAllocs()
+	r, now := newRouter(20), t0
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		s, err := r.Pick(now, ordinary)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Done(now, s.ID, crrouter.Result{Latency: time.Millisecond, Feedback: &crrouter.Feedback{InFlight: 5, Limit: 50, Speed: 0.5 + float64(len(s.ID))/2}})
+	}
+}
--- a/pkg/crspeed/crspeed.go
+++ b/pkg/crspeed/crspeed.go
@@ -109,7 +109,7 @@
 	}
 	e.usual += (e.slowness - e.usual) * weight(min(dt, slownessExpiry), period)
 	e.reportedAt = now
-	e.byLoads.observe(now, l.Running, e.Slots, e.slownessFactor(now), kneeFall)
+	e.byLoads.observe(now, l.Running, e.Slots, l.Slowness*e.rate(), kneeFall)
 }
 
 // advance integrates the progress up to now.
--- a/pkg/crspeed/crspeed_test.go
+++ b/pkg/crspeed/crspeed_test.go
@@ -221,6 +221,36 @@
 	}
 }
 
+// TestKneeOfHeader guards against a reported slowness above some concurrency that does not lower the limit, and against a
+// neighbour that does: while it slows the machine, more runs are there too.
+func TestKneeOfHeader(t *testing.T) {
+	for _, neighbour := range []bool{false, true} {
+		c := qt.New(t)
+		e := crspeed.Estimator{Slots: 40}
+		now, random := t0, rand.New(rand.NewPCG(3, 4))
+		for i := range 40_000 {
+			now = now.Add(time.Millisecond)
+			l := crspeed.Load{Running: 1 + random.IntN(38), Slots: 40, Slowness: 1}
+			disturbed := now.Sub(t0)%(5*time.Second) < 600*time.Millisecond
+			switch {
+			case neighbour && disturbed:
+				l.Running, l.Slowness = 30+random.IntN(9), 2.5
+			case !neighbour && l.Running > 20:
+				l.Slowness = 2.5
+			}
+			e.RecordLoad(now, l)
+			if i < 20_000 || i%1000 != 999 {
+				continue
+			}
+			if got := e.Knee(now); neighbour {
+				c.Check(got, qt.Equals, 40)
+			} else {
+				c.Check(got, qt.Equals, 20, qt.Commentf("at %v", now.Sub(t0)))
+			}
+		}
+	}
+}
+
 // TestComparisonBounds guards against figures that grow with servers or routes, and against a speed beyond the bounds.
 func TestComparisonBounds(t *testing.T) {
 	c := qt.New(t)
