crquota, crforward: contact with a leader of a lower term; tests on loopback

Cause: a wallet kept the highest term that it had seen, so that after a start of the coordinators with empty disks no node would have counted as in contact. Retries, the loss of the leader and a lowered quota were tested without processes only.

Change: the answer to the latest request decides. TestQuotaCountsRetries, TestQuotaWithoutCoordinator and TestQuotaLowered run nodes and a coordinator.

--- a/internal/crforward/quota_test.go
+++ b/internal/crforward/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -30,7 +31,7 @@
 	for range nodes {
 		c.addNode("photos")
 	}
-	c.putRoutes(3, 0, newRoute("/p/", "photos", crroute.Once))
+	c.putRoutes(3, 0, newRoute("/p/", "photos", crroute.Repeatable))
 	for _, n := range c.nodes {
 		eventually(t, func() bool { return n.sendKeyed(t, "k2").StatusCode == http.StatusOK })
 	}
@@ -99,3 +100,64 @@
 	qt.Assert(t, refused > 0, qt.IsTrue)
 	qt.Assert(t, c.nodes[0].sendKeyed(t, "k2").StatusCode, qt.Equals, http.StatusOK)
 }
+
+func (c *cluster) runs() (sum int64) {
+	for _, n := range c.nodes {
+		sum += n.backend.runs.Load()
+	}
+	return sum
+}
+
+// TestQuotaCountsRetries guards against retries and hedged requests that run beyond the quota.
+func TestQuotaCountsRetries(t *testing.T) {
+	const rate, burst, seconds = 60.0, 10.0, 4.0
+	c := quotaCluster(t, 3, func(uint64) crroute.Quota { return crroute.Quota{Rate: rate, Burst: burst} })
+	for _, n := range c.nodes {
+		n.backend.setHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	}
+	before := c.runs()
+	c.offer(t, 150, seconds*time.Second, func(*http.Response) {})
+	ran := float64(c.runs() - before)
+	qt.Assert(t, ran > rate*seconds/2, qt.IsTrue, qt.Commentf("%v runs", ran))
+	qt.Assert(t, ran <= (rate*seconds+burst)*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%v runs", ran))
+}
+
+// TestQuotaWithoutCoordinator guards against nodes that serve nothing, or more than the quota, while no leader grants tokens, and
+// that do not ask the next one.
+func TestQuotaWithoutCoordinator(t *testing.T) {
+	const rate, seconds = 60.0, 4.0
+	c := quotaCluster(t, 3, func(uint64) crroute.Quota { return crroute.Quota{Rate: rate, Burst: 10} })
+	c.offer(t, 100, time.Second, func(*http.Response) {})
+	c.stopCoord()
+	time.Sleep(1500 * time.Millisecond)
+	ok, _ := c.offer(t, 150, seconds*time.Second, func(*http.Response) {})
+	qt.Assert(t, float64(ok) >= rate*seconds*0.7, qt.IsTrue, qt.Commentf("%d answers", ok))
+	qt.Assert(t, float64(ok) <= rate*seconds*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%d answers", ok))
+	inner, err := net.Listen("tcp", c.seed)
+	qt.Assert(t, err, qt.IsNil)
+	c.startCoord(inner, t.TempDir(), true)
+	static := func() (sum int64) {
+		for _, n := range c.nodes {
+			sum += n.Counters.Value("quota_static")
+		}
+		return sum
+	}
+	eventually(t, func() bool {
+		before := static()
+		ok, _ := c.offer(t, 40, 500*time.Millisecond, func(*http.Response) {})
+		return static() == before && ok > 10
+	})
+}
+
+// TestQuotaLowered guards against a lowered quota that does not hold soon after it is in force.
+func TestQuotaLowered(t *testing.T) {
+	c := quotaCluster(t, 2, func(version uint64) crroute.Quota {
+		return map[bool]crroute.Quota{false: {Rate: 100, Burst: 100}, true: {Rate: 20, Burst: 10}}[version >= 4]
+	})
+	c.offer(t, 150, time.Second, func(*http.Response) {})
+	c.putRoutes(4, 3, newRoute("/p/", "photos", crroute.Repeatable))
+	time.Sleep(500 * time.Millisecond)
+	ok, _ := c.offer(t, 100, 3*time.Second, func(*http.Response) {})
+	qt.Assert(t, float64(ok) <= (20*3+10)*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%d answers", ok))
+	qt.Assert(t, ok >= 40, qt.IsTrue, qt.Commentf("%d answers", ok))
+}
--- a/pkg/crquota/wallet.go
+++ b/pkg/crquota/wallet.go
@@ -73,11 +73,13 @@
 	accounts *simplelru.LRU[string, *account]
 	// active holds the accounts with recent demand.
 	active map[string]*account
-	// contact holds what the last answer said; answeredAt is when it arrived.
-	contact    Contact
-	answeredAt time.Time
-	sentAt     time.Time
-	pending    int
+	// contact holds what the answer to the latest request said, which was sent at contactSent; answeredAt is when the last
+	// answer arrived.
+	contact     Contact
+	contactSent time.Time
+	answeredAt  time.Time
+	sentAt      time.Time
+	pending     int
 }
 
 // lot is a number of tokens of one grant. The term and the stamp are those of the reply; the term is 0 if it is not known.
@@ -266,8 +268,9 @@
 // Answer stores the tokens of an answer to a request that was sent at the given time.
 func (w *Wallet) Answer(now, sent time.Time, req Request, r Reply) {
 	w.settle(req)
-	if r.Term > w.contact.Term || r.Term == w.contact.Term && r.Stamp >= w.contact.Stamp {
-		w.contact.Term, w.contact.Stamp, w.contact.Nodes = r.Term, r.Stamp, r.Nodes
+	if !sent.Before(w.contactSent) {
+		// The term may be lower than before: coordinators that lost their disks start from the first one.
+		w.contact.Term, w.contact.Stamp, w.contact.Nodes, w.contactSent = r.Term, r.Stamp, r.Nodes, sent
 	}
 	w.answeredAt = now
 	asked := make(map[string]uint32, len(req.Demands))
