--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -45,6 +45,11 @@
 	MemberChange     Event = "member_change"
 	PressureChanged  Event = "pressure_changed"
 	CostLearned      Event = "cost_learned"
+	KeysRefused      Event = "keys_refused"
+	LeaseLost        Event = "lease_lost"
+	LeaseHeld        Event = "lease_held"
+	QuotaReached     Event = "quota_reached"
+	QuotaFree        Event = "quota_free"
 )
 
 // Keys of the values of a log line.
@@ -87,4 +92,7 @@
 	KeyAddress     = "address"
 	KeyDetail      = "detail"
 	KeyCost        = "cost_ms"
+	// KeyOrganisation is the name of an organisation, never one of its keys.
+	KeyOrganisation = "organisation"
+	KeyRate         = "rate"
 )
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -12,6 +12,7 @@
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // call is one request to a backend server.
@@ -36,9 +37,13 @@
 	importance uint32
 	// priority is the rank of the request: that of its organisation if it has one, otherwise that of its route.
 	priority int
+	// ranked is set if priority and importance combine the priorities of the organisation and of the route.
+	ranked bool
 	// organisation is the name of the organisation whose key the request carried. It is empty for calls of servers and
 	// on anonymous routes.
 	organisation string
+	// quota holds the tokens of a request whose organisation has a quota; nil for others.
+	quota *quotaUse
 	// caller is the service of the instance at whose entrance the request arrived.
 	caller string
 	// callerIdle is set if the server of that instance ran nothing at the time, so that a client must have sent the
@@ -93,6 +98,8 @@
 	// buffered is set if body holds the complete answer in memory.
 	buffered bool
 	load     *crrouter.Feedback
+	// speed is nil if the gate does not report it.
+	speed *crspeed.Report
 	// retryAfter is when the gate expects to have capacity again; waited is the time in the gate's queue, took the
 	// time at the server.
 	retryAfter   time.Duration
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -38,6 +38,8 @@
 	NotRun string
 	// RetryAfter is the header that says when a refused client should retry, in seconds.
 	RetryAfter string
+	// Load is the header in which servers report their load. Without a name loads are not read.
+	Load string
 	// Key is the header with the key of the client's organisation. It is removed at the entrance.
 	Key string
 	// Organisation is the header that names the organisation to backend servers. The entrance sets it.
@@ -64,6 +66,13 @@
 	Heartbeat time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// RevokeWithin is the time after which no node runs requests with a key that was removed from the configuration, also
+	// without contact to coordinators; 0 means that a node without contact goes on with its last configuration.
+	RevokeWithin time.Duration
+	// ConfigApply is the age of the configuration from which an unknown key may be a new one; 0 means never.
+	ConfigApply time.Duration
+	// Quota holds the bounds on the quotas of organisations.
+	Quota QuotaBounds
 	// StopTimeout is the time from the stop signal until the process is killed.
 	StopTimeout time.Duration
 }
@@ -83,14 +92,17 @@
 	Parse          Parser
 	// Suspended returns the total time for which the machine was suspended; nil means crclock.Suspended.
 	Suspended func() time.Duration
-	Log       *crevent.Log
-	Counters  cradmin.Counters
+	// Clock returns the present time of a clock that counts suspension; nil means crclock.Now.
+	Clock    func() time.Time
+	Log      *crevent.Log
+	Counters cradmin.Counters
 
 	table     atomic.Pointer[crroute.Table]
 	documents documents
 	// hintsNeeded is set by a request of a route whose origin or cost is unknown, and triggers an exchange of hints.
 	hintsNeeded  atomic.Bool
 	keyedRoutes  keyedRoutes
+	freshness    freshness
 	endpoint     *crwire.Endpoint
 	directory    *crdirectory.Client
 	coordinators coordinators
@@ -99,6 +111,7 @@
 	suspects     suspects
 	departures   departures
 	peers        peerClients
+	quotas       quotas
 	bodyBudget   bodyBudget
 	board        crshed.PressureTable
 	shares       crshed.Admitter
@@ -157,6 +170,10 @@
 	n.wg.Go(func() { n.follow(tasks, secondaryLink) })
 	n.wg.Go(func() { n.gate.watchReports(tasks) })
 	n.wg.Go(func() { n.sampleLoad(tasks) })
+	n.wg.Go(func() { n.watchFreshness(tasks) })
+	if n.quotasEnforced() {
+		n.wg.Go(func() { n.acquireQuotas(tasks) })
+	}
 	n.wg.Go(func() {
 		cradmin.WatchSuspensions(tasks, &n.Counters, func(slept time.Duration) {
 			n.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept)
@@ -181,6 +198,9 @@
 	if n.Suspended == nil {
 		n.Suspended = crclock.Suspended
 	}
+	if n.Clock == nil {
+		n.Clock = crclock.Now
+	}
 	n.untilGivenUp, n.giveUp = context.WithCancel(context.Background())
 	n.endpoint = &crwire.Endpoint{
 		Identity: crwire.Identity{Self: crwire.Peer{
@@ -195,12 +215,12 @@
 	n.services.node = n
 	n.peers.requestID = n.requestID
 	n.board.RetryRatio = n.Settings.RetryRatio
-	n.Counters.Declare("repeated_calls", "server_refusals")
 	n.bodyBudget.limit = n.Settings.MemoryBytes / bodyMemoryShare
 	n.ledger = &crcost.Estimator{Service: n.Settings.Service}
 	n.gate = newGate(n)
 	n.coordinators.configure(n.Settings.Seeds)
 	n.declareMetrics()
+	n.prepareQuotas()
 	n.directory.Watch(nil, []string{n.departureTopic()})
 	n.announce()
 }
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -14,6 +14,7 @@
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // Timings and limits of a gate.
@@ -51,6 +52,9 @@
 	downUntil     time.Time
 	reportsMissed bool
 	regulator     *crshed.Regulator
+	// speed estimates how fast the server works.
+	speed    *crspeed.Estimator
+	refusals crshed.Refusals
 	// roots holds the admission rates of the client requests that the server runs calls for.
 	roots crshed.RootRates
 	// repeats counts the runs on the server that are repeats.
@@ -61,8 +65,6 @@
 	loggedPressure   float64
 	loggedRefused    float64
 	pressureLoggedAt time.Time
-	// refusals estimates the share of runs that the server refuses although it has free slots.
-	refusals crshed.Refusals
 }
 
 // waiter is the queue entry of a waiting call.
@@ -118,10 +120,11 @@
 		g.client.Close()
 	}
 	g.refuseQueued(crcode.Leaving)
-	g.refusals.Reset()
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
+	g.speed = &crspeed.Estimator{}
+	g.refusals.Reset()
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -216,6 +219,7 @@
 	lifetime *lifetime
 	client   *crexchange.Client
 	limiter  *crlimiter.Limiter
+	speed    *crspeed.Estimator
 	tracked  trackedRun
 }
 
@@ -275,7 +279,7 @@
 		g.mu.Unlock()
 		return grant{}, code
 	}
-	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter}
+	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter, speed: g.speed}
 	expectedRun := g.limiter.RunTime(c.route)
 	if !c.countedAsDemand {
 		c.countedAsDemand = true
@@ -287,7 +291,7 @@
 		return gr, crcode.OK
 	}
 	left := c.deadline.Sub(now)
-	rank, due := g.ranks.Rank(now, senderOf[c.origin], c.importance), c.due.Add(-expectedRun)
+	rank, due := g.ranks.RankWithin(now, senderOf[c.origin], c.kindImportance(), c.importance), c.due.Add(-expectedRun)
 	if expected := g.limiter.Expected(c.route, g.queue.Ahead(rank, due)); expected > left {
 		g.mu.Unlock()
 		return gr, crcode.Overloaded
@@ -407,7 +411,8 @@
 	if code != crcode.OK {
 		r := failureReply(code, "")
 		r.origin = c.origin
-		r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+		r.waited = waited
+		g.report(time.Now(), c, r)
 		r.retryAfter = g.queueDrainTime()
 		return r
 	}
@@ -423,7 +428,8 @@
 	r.downstreamFailed = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.RunEnded(c.route, r.took, succeeded(r))
 	r.origin = c.origin
-	r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+	r.waited = waited
+	g.report(time.Now(), c, r)
 	return r
 }
 
--- a/internal/crforward/retries.go
+++ b/internal/crforward/retries.go
@@ -16,11 +16,16 @@
 	leaf bool
 }
 
-// budget returns the retry budget of a call.
-func (n *Node) budget(s *service, c *call) *callBudget {
+// makesNoCalls reports whether the run of a call is known to make no calls.
+func (n *Node) makesNoCalls(c *call) bool {
 	costs := n.costs.get(c.route).cost
 	_, own := costs[c.service]
-	return &callBudget{node: n, service: s, call: c, leaf: own && len(costs) == 1}
+	return own && len(costs) == 1
+}
+
+// budget returns the retry budget of a call.
+func (n *Node) budget(s *service, c *call) *callBudget {
+	return &callBudget{node: n, service: s, call: c, leaf: n.makesNoCalls(c)}
 }
 
 // recordCall counts the first attempt of the call. Calls of the server on this instance are repeats in the proportion in which
@@ -53,7 +58,7 @@
 // to the most important requests, so it ranks with these.
 func (b *callBudget) urgency(now time.Time) crbudget.Urgency {
 	c, ranks := b.call, &b.service.ranks
-	if c.origin != originClients || ranks.Rank(now, cradmission.Client, c.importance) == ranks.Rank(now, cradmission.Server, 0) {
+	if c.origin != originClients || ranks.RankWithin(now, cradmission.Client, c.kindImportance(), c.importance) == ranks.Rank(now, cradmission.Server, 0) {
 		return crbudget.Important
 	}
 	return crbudget.Ordinary
