crspeed: a server whose run times are not known any more counts as usual

Cause: a server that was left for its slowness was compared by its last known run time for ever, since the few runs by which it is tried again are too few for a new one. Change: a report without a run time removes the server from the comparison.

--- a/pkg/crspeed/comparison.go
+++ b/pkg/crspeed/comparison.go
@@ -35,14 +35,19 @@
 	median  float64
 }
 
-// Observe records the run time that a server's gate reported for a route.
+// Observe records the run time that a server's gate reported for a route. Zero means that it is not known any more: a server
+// that has been left for long is compared again after some runs.
 func (c *Comparison) Observe(server, route string, runTime time.Duration) {
-	if runTime <= 0 {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.routes[route]
+	if runTime <= 0 {
+		if r != nil {
+			delete(r.servers, server)
+			r.median = median(r.servers)
+		}
+		return
+	}
 	if r == nil {
 		if len(c.routes) >= maxRoutes {
 			return
--- a/pkg/crspeed/crspeed_test.go
+++ b/pkg/crspeed/crspeed_test.go
@@ -251,6 +251,24 @@
 	}
 }
 
+// TestSlowServerReturns guards against a server that was slow, got no traffic for that reason, and counts as slow although its few
+// runs since are as fast as others'.
+func TestSlowServerReturns(t *testing.T) {
+	c := qt.New(t)
+	s, usual := newServer(0), newServer(0)
+	s.slow = 3
+	s.play(20 * time.Second)
+	usual.play(20 * time.Second)
+	var service crspeed.Comparison
+	service.Observe("usual", "r", usual.e.Report(usual.now, "r").RunTime)
+	service.Observe("slow", "r", s.e.Report(s.now, "r").RunTime)
+	c.Check(service.Speed("slow") < 0.8, qt.IsTrue)
+	s.now, s.slow = s.now.Add(time.Minute), 1
+	s.play(10 * time.Millisecond)
+	service.Observe("slow", "r", s.e.Report(s.now, "r").RunTime)
+	c.Check(service.Speed("slow"), qt.Equals, 1.0)
+}
+
 // TestComparisonBounds guards against figures that grow with servers or routes, and against a speed beyond the bounds.
 func TestComparisonBounds(t *testing.T) {
 	c := qt.New(t)
