--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -48,6 +48,8 @@
 	KeysRefused      Event = "keys_refused"
 	LeaseLost        Event = "lease_lost"
 	LeaseHeld        Event = "lease_held"
+	QuotaReached     Event = "quota_reached"
+	QuotaFree        Event = "quota_free"
 )
 
 // Keys of the values of a log line.
@@ -77,6 +79,7 @@
 	KeyPriority    = "priority"
 	KeyShare       = "share"
 	KeyPressure    = "pressure"
+	KeyRefused     = "refused"
 	KeyCaller      = "caller"
 	KeyFingerprint = "fingerprint"
 	KeyCount       = "count"
@@ -89,4 +92,7 @@
 	KeyAddress     = "address"
 	KeyDetail      = "detail"
 	KeyCost        = "cost_ms"
+	// KeyOrganisation is the name of an organisation, never one of its keys.
+	KeyOrganisation = "organisation"
+	KeyRate         = "rate"
 )
--- a/internal/crforward/call.go
+++ b/internal/crforward/call.go
@@ -12,6 +12,7 @@
 	"github.com/citronramp/citronramp/pkg/crcost"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // call is one request to a backend server.
@@ -36,9 +37,13 @@
 	importance uint32
 	// priority is the rank of the request: that of its organisation if it has one, otherwise that of its route.
 	priority int
+	// ranked is set if priority and importance combine the priorities of the organisation and of the route.
+	ranked bool
 	// organisation is the name of the organisation whose key the request carried. It is empty for calls of servers and
 	// on anonymous routes.
 	organisation string
+	// quota holds the tokens of a request whose organisation has a quota; nil for others.
+	quota *quotaUse
 	// excess is set if the request exceeds what is usual for its organisation at the service that limits its admission.
 	excess bool
 	// caller is the service of the instance at whose entrance the request arrived.
@@ -50,6 +55,9 @@
 	nonRepeatable bool
 	// countedAsDemand is set once the regulator of a gate has counted the call as demand, which happens once per call.
 	countedAsDemand bool
+	// repeat is set if the run of this attempt counts as a repeat: an earlier attempt reached a server, or a repeated run made
+	// the call.
+	repeat bool
 	// rates holds, by service, the admission rate at the time the client's request was admitted. Calls made for that
 	// request inherit it.
 	rates crshed.Rates
@@ -92,6 +100,8 @@
 	// buffered is set if body holds the complete answer in memory.
 	buffered bool
 	load     *crrouter.Feedback
+	// speed is nil if the gate does not report it.
+	speed *crspeed.Report
 	// retryAfter is when the gate expects to have capacity again; waited is the time in the gate's queue, took the
 	// time at the server.
 	retryAfter   time.Duration
@@ -100,9 +110,11 @@
 	// pressures of downstream services known there, and cost the cost of the route; cost is nil if the answer does not
 	// report it.
 	pressure float64
-	board    []crshed.Entry
-	cost     crcost.Vector
-	origin   origin
+	// refused is the share of runs that the server refuses although it has free slots.
+	refused float64
+	board   []crshed.Entry
+	cost    crcost.Vector
+	origin  origin
 	// downstreamFailed is set if a call that the server itself made failed during the run, so that the server may not
 	// be at fault.
 	downstreamFailed bool
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -39,6 +39,8 @@
 	NotRun string
 	// RetryAfter is the header that says when a refused client should retry, in seconds.
 	RetryAfter string
+	// Load is the header in which servers report their load. Without a name loads are not read.
+	Load string
 	// Key is the header with the key of the client's organisation. It is removed at the entrance.
 	Key string
 	// Organisation is the header that names the organisation to backend servers. The entrance sets it.
@@ -59,6 +61,8 @@
 	// Seeds are the addresses of coordinators from the settings.
 	Seeds   []string
 	Headers Headers
+	// AlikeServers says that the servers of a service are alike, so that nothing follows from how fast each one works.
+	AlikeServers bool
 	// RetryRatio is the maximum ratio of retries to requests of a service, over all nodes together.
 	RetryRatio float64
 	// Heartbeat is the interval of the backend server's reports.
@@ -70,6 +74,8 @@
 	RevokeWithin time.Duration
 	// ConfigApply is the age of the configuration from which an unknown key may be a new one; 0 means never.
 	ConfigApply time.Duration
+	// Quota holds the bounds on the quotas of organisations.
+	Quota QuotaBounds
 	// StopTimeout is the time from the stop signal until the process is killed.
 	StopTimeout time.Duration
 }
@@ -108,6 +114,7 @@
 	suspects     suspects
 	departures   departures
 	peers        peerClients
+	quotas       quotas
 	bodyBudget   bodyBudget
 	board        crshed.PressureTable
 	shares       crshed.Admitter
@@ -168,6 +175,9 @@
 	n.wg.Go(func() { n.gate.watchReports(tasks) })
 	n.wg.Go(func() { n.sampleLoad(tasks) })
 	n.wg.Go(func() { n.watchFreshness(tasks) })
+	if n.quotasEnforced() {
+		n.wg.Go(func() { n.acquireQuotas(tasks) })
+	}
 	n.wg.Go(func() {
 		cradmin.WatchSuspensions(tasks, &n.Counters, func(slept time.Duration) {
 			n.Log.Emit(time.Now(), crevent.State, crevent.Suspended, crevent.KeyTook, slept)
@@ -208,11 +218,14 @@
 	n.suspects.prepare(n)
 	n.services.node = n
 	n.peers.requestID = n.requestID
+	n.board.RetryRatio = n.Settings.RetryRatio
+	n.Counters.Declare("repeated_calls", "server_refusals")
 	n.bodyBudget.limit = n.Settings.MemoryBytes / bodyMemoryShare
 	n.ledger = &crcost.Estimator{Service: n.Settings.Service}
 	n.gate = newGate(n)
 	n.coordinators.configure(n.Settings.Seeds)
 	n.declareMetrics()
+	n.prepareQuotas()
 	n.directory.Watch(nil, []string{n.departureTopic()})
 	n.announce()
 }
--- a/internal/crforward/gate.go
+++ b/internal/crforward/gate.go
@@ -8,11 +8,13 @@
 	"github.com/citronramp/citronramp/internal/crevent"
 	"github.com/citronramp/citronramp/internal/crexchange"
 	"github.com/citronramp/citronramp/pkg/cradmission"
+	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
+	"github.com/citronramp/citronramp/pkg/crspeed"
 )
 
 // Timings and limits of a gate.
@@ -50,13 +52,20 @@
 	downUntil     time.Time
 	reportsMissed bool
 	regulator     *crshed.Regulator
+	// speed estimates how fast the server works.
+	speed *crspeed.Estimator
 	// roots holds the admission rates of the client requests that the server runs calls for.
-	roots   crshed.RootRates
+	roots crshed.RootRates
+	// repeats counts the runs on the server that are repeats.
+	repeats crbudget.Repeats
 	origins originClassifier
-	// loggedPressure is the last logged pressure, at pressureLoggedAt. Only the goroutine that steps the regulator
-	// uses both.
+	// loggedPressure and loggedRefused are the last logged pressure and share of refused runs, at pressureLoggedAt. Only the
+	// goroutine that steps the regulator uses them.
 	loggedPressure   float64
+	loggedRefused    float64
 	pressureLoggedAt time.Time
+	// refusals estimates the share of runs that the server refuses although it has free slots.
+	refusals crshed.Refusals
 }
 
 // waiter is the queue entry of a waiting call.
@@ -112,9 +121,11 @@
 		g.client.Close()
 	}
 	g.refuseQueued(crcode.Leaving)
+	g.refusals.Reset()
 	g.lifetime = &lifetime{}
 	limit := concurrencyLimit(r.Slots)
 	g.limiter = &crlimiter.Limiter{Slots: limit, Min: limit, Max: limit}
+	g.speed = &crspeed.Estimator{Slots: r.Slots}
 	g.regulator.Start(g.node.board.Pressure(time.Now(), r.Service))
 	g.queue = &cradmission.Queue{Length: queueLengthPerSlot * r.Slots, MaxWait: time.Minute}
 	g.client = &crexchange.Client{
@@ -209,6 +220,7 @@
 	lifetime *lifetime
 	client   *crexchange.Client
 	limiter  *crlimiter.Limiter
+	speed    *crspeed.Estimator
 	tracked  trackedRun
 }
 
@@ -268,8 +280,8 @@
 		g.mu.Unlock()
 		return grant{}, code
 	}
-	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter}
-	expectedRun := g.limiter.RunTime(c.route)
+	gr := grant{reg: *g.reg, lifetime: g.lifetime, client: g.client, limiter: g.limiter, speed: g.speed}
+	expectedRun := g.expectedRun(now, c.route)
 	if !c.countedAsDemand {
 		c.countedAsDemand = true
 		g.regulator.RecordArrival(expectedRun, c.rates.Of(c.service))
@@ -280,7 +292,7 @@
 		return gr, crcode.OK
 	}
 	left := c.deadline.Sub(now)
-	rank, due := g.ranks.Rank(now, senderOf[c.origin], c.importance), c.due.Add(-expectedRun)
+	rank, due := g.ranks.RankWithin(now, senderOf[c.origin], c.kindImportance(), c.importance), c.due.Add(-expectedRun)
 	if expected := g.limiter.Expected(c.route, g.queue.Ahead(rank, due)); expected > left {
 		g.mu.Unlock()
 		return gr, crcode.Overloaded
@@ -400,21 +412,25 @@
 	if code != crcode.OK {
 		r := failureReply(code, "")
 		r.origin = c.origin
-		r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+		r.waited = waited
+		g.report(time.Now(), c, r)
 		r.retryAfter = g.queueDrainTime()
 		return r
 	}
 	g.node.ledger.RunStarted(c.route)
 	started := time.Now()
 	g.roots.RunStarted(c.rates)
+	g.repeats.RunStarted(c.route, c.repeat)
 	r := g.forward(ctx, c, gr, waited)
 	g.roots.RunEnded(c.rates)
+	g.repeats.RunEnded(c.route, c.repeat)
 	g.node.Counters.Observe(waitTime+c.service, waited)
 	g.node.Counters.Observe(runTime+c.service, r.took)
 	r.downstreamFailed = r.code == crcode.OK && r.status >= 500 && g.node.callFailedSince(started)
 	g.node.ledger.RunEnded(c.route, r.took, succeeded(r))
 	r.origin = c.origin
-	r.waited, r.load, r.pressure = waited, g.feedback(), g.regulator.Pressure()
+	r.waited = waited
+	g.report(time.Now(), c, r)
 	return r
 }
 
--- a/internal/crforward/hopline.go
+++ b/internal/crforward/hopline.go
@@ -33,6 +33,10 @@
 	flagCallerIdle = "i"
 	// flagCountedAsDemand is set if another gate of the service has counted the call as demand.
 	flagCountedAsDemand = "c"
+	// flagRanked is set if the importance combines the priorities of the organisation and of the route.
+	flagRanked = "k"
+	// flagRepeat is set if the run counts as a repeat, so that its calls do too.
+	flagRepeat = "r"
 )
 
 // formatCall encodes the call data that the gate needs.
@@ -47,6 +51,12 @@
 	if c.countedAsDemand {
 		flags += flagCountedAsDemand
 	}
+	if c.ranked {
+		flags += flagRanked
+	}
+	if c.repeat {
+		flags += flagRepeat
+	}
 	return strings.Join([]string{
 		url.QueryEscape(c.service), url.QueryEscape(c.route), formatMilliseconds(c.deadline.Sub(now)),
 		strconv.FormatUint(uint64(c.importance), 36), url.QueryEscape(c.caller), flags,
@@ -75,6 +85,8 @@
 	c.nonRepeatable = strings.Contains(f[callFlags], flagNonRepeatable)
 	c.callerIdle = strings.Contains(f[callFlags], flagCallerIdle)
 	c.countedAsDemand = strings.Contains(f[callFlags], flagCountedAsDemand)
+	c.ranked = strings.Contains(f[callFlags], flagRanked)
+	c.repeat = strings.Contains(f[callFlags], flagRepeat)
 	c.rates = crshed.Rates{c.service: share}
 	return nil
 }
@@ -119,13 +131,16 @@
 		downstreamFailed = "1"
 	}
 	if r.load != nil {
-		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued)
+		load = strconv.Itoa(r.load.InFlight) + "," + strconv.Itoa(r.load.Limit) + "," + strconv.Itoa(r.load.Queued) + formatRefused(n.gate.refusals.Share())
 		pressure = strconv.FormatFloat(r.pressure, 'f', 2, 64)
 	}
 	var board, cost []string
 	for _, e := range n.board.Entries(now, maxBoardEntries) {
 		if e.Service != n.Settings.Service {
 			board = append(board, url.QueryEscape(e.Service)+"="+strconv.FormatFloat(e.Pressure, 'f', 2, 64)+"/"+formatMilliseconds(e.Age))
+			if e.Refusing && load != "" {
+				load += "," + refusingMark + url.QueryEscape(e.Service)
+			}
 		}
 	}
 	if costs := n.ledger.Cost(c.route); costs != nil && n.reportsCost() {
@@ -155,11 +170,13 @@
 	r.downstreamFailed = f[answerDownstreamFailed] != ""
 	if f[answerLoad] != "" {
 		if r.load, err = parseLoad(f[answerLoad]); err == nil {
+			r.refused = parseRefused(f[answerLoad])
 			r.pressure, err = strconv.ParseFloat(f[answerPressure], 64)
 		}
 	}
 	if err == nil {
 		r.board, err = parseBoard(f[answerBoard])
+		markRefusing(r.board, f[answerLoad])
 	}
 	if err == nil {
 		r.cost, err = parseCost(f[answerCost])
--- a/internal/crforward/identity.go
+++ b/internal/crforward/identity.go
@@ -134,15 +134,13 @@
 	}
 }
 
-// setOrganisation records the organisation of the call, whose priority takes precedence over that of the route.
-func (c *call) setOrganisation(o *crroute.Organisation) {
-	if o == nil {
-		return
-	}
-	c.organisation = o.Name
-	if o.Priority != nil {
-		c.setPriority(*o.Priority)
+// setOrganisation records the organisation of the call, which may be nil, and the rank of its requests.
+func (c *call) setOrganisation(table *crroute.Table, route *crroute.Route, o *crroute.Organisation) {
+	if o != nil {
+		c.organisation = o.Name
 	}
+	c.ranked = table.HasOrganisations()
+	c.setPriority(table.Rank(route, o))
 }
 
 // setPriority sets the rank of the call; a smaller number is more important.
@@ -150,3 +148,11 @@
 	c.priority = priority
 	c.importance = uint32(maxImportance - min(max(priority, 0), maxImportance-1))
 }
+
+// kindImportance returns the importance of the call among the kinds of its organisation.
+func (c *call) kindImportance() uint32 {
+	if !c.ranked {
+		return c.importance
+	}
+	return uint32(maxImportance - crroute.RoutePart(maxImportance-int(c.importance)))
+}
--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crevent"
-	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crcode"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crroute"
@@ -19,6 +19,9 @@
 	// maxGatesPerCall limits the gates that one call is sent to. A gate that refuses costs two short messages and no
 	// server time.
 	maxGatesPerCall = 4
+	// maxSendsPerCall limits the sends of one call whose servers refuse it without running it. With one refusal in two, five of
+	// six calls of a chain are accepted within it, and each send costs a round trip.
+	maxSendsPerCall = 6
 	// fairTimeFactor is how many times its mean latency a server must have had before a timeout counts against it.
 	// With less, earlier work of the call chain was late, or the caller gave up early.
 	fairTimeFactor = 3
@@ -36,12 +39,11 @@
 	call    *call
 	route   *crroute.Route
 	service *service
-	budget  *crbudget.Ratio
+	budget  *callBudget
 
 	mu sync.Mutex
-	// tried holds the servers that were picked, sent counts the attempts that reached a server.
-	tried []string
-	sent  int
+	// tried holds the servers that were picked, reached those of them to which the call was sent.
+	tried, reached []string
 }
 
 // place sends the call to one server after another until one answers or no further attempt is allowed. It returns the
@@ -52,7 +54,7 @@
 	if n.suspects.verdict(time.Now(), c.fingerprints) == crquarantine.Convicted {
 		return n.quarantineReply(c), 0
 	}
-	p.budget.RecordSuccess()
+	p.budget.recordCall(time.Now())
 	for attempts = 1; ; attempts++ {
 		server, err := p.pick(time.Now(), !c.nonRepeatable && attempts == 1)
 		if err != nil {
@@ -80,16 +82,6 @@
 	}
 }
 
-// budget returns the retry budget of a call. Calls whose run makes no further calls have a larger one, because a retry
-// of the run repeats no calls downstream.
-func (n *Node) budget(s *service, c *call) *crbudget.Ratio {
-	costs := n.costs.get(c.route).cost
-	if _, own := costs[c.service]; c.origin == originClients && own && len(costs) == 1 {
-		return s.leafRetries
-	}
-	return s.retries
-}
-
 // pick selects a server that was not tried yet. An ejected server that is due for a probe is selected only if probe is
 // set.
 func (p *placement) pick(now time.Time, probe bool) (crrouter.Server, error) {
@@ -99,7 +91,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	req.Tried = p.tried
+	if len(p.reached) >= p.route.MaxAttempts {
+		// The servers refused the call, and no further ones may get it.
+		req.Among = p.reached
+	} else {
+		req.Tried = p.tried
+	}
 	server, err := p.service.router.Pick(now, req)
 	if err == nil {
 		p.tried = append(p.tried, server.ID)
@@ -121,22 +118,31 @@
 // send sends the call to one server and records the latency, load and cost from its answer.
 func (p *placement) send(ctx context.Context, c *call, server crrouter.Server) *reply {
 	n, s, now := p.node, p.service, time.Now()
+	tokenDone := c.quota.attempt()
 	r := n.sendToGate(ctx, s.address(server.ID), c)
+	tokenDone(reachedServer(r))
 	c.countedAsDemand = c.countedAsDemand || countsAsDemand(r)
 	took := time.Since(now)
+	s.recordSpeed(server.ID, c, r)
 	n.logEjection(s, server.ID, r, s.router.Done(time.Now(), server.ID, routerResult(r, took, s.meanLatency(c.route))))
 	if succeeded(r) {
 		s.recordLatency(c.route, took)
 	}
 	n.applyFeedback(time.Now(), server.ID, c, r)
 	if reachedServer(r) {
-		p.mu.Lock()
-		p.sent++
-		p.mu.Unlock()
+		p.recordReached(server.ID)
 	}
 	return r
 }
 
+func (p *placement) recordReached(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(p.reached, server) {
+		p.reached = append(p.reached, server)
+	}
+}
+
 // sendFirst sends the call to its first server, and also to a second one if the first does not answer within the hedge
 // delay.
 func (p *placement) sendFirst(ctx context.Context, server crrouter.Server) *reply {
@@ -199,13 +205,14 @@
 // hedge sends a copy of the call to a second server. It returns nil if the copy was not sent.
 func (p *placement) hedge(ctx context.Context, c *call) *reply {
 	now := time.Now()
-	if ctx.Err() != nil || !c.rewind() || !p.budget.Allow(now) {
+	if ctx.Err() != nil || !c.rewind() || !c.quota.reserve() || !p.budget.Allow(now) {
 		return nil
 	}
 	server, err := p.pick(now, false)
 	if err != nil {
 		return nil
 	}
+	c.repeat = true
 	p.node.Counters.Add("hedged", 1)
 	p.node.Log.Emit(now, crevent.Failure, crevent.SentAgain, crevent.KeyID, c.id, crevent.KeyService, c.service, crevent.KeyServer, server.ID,
 		crevent.KeyReason, "silent", crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond))
@@ -234,10 +241,12 @@
 func (p *placement) mayRetry(ctx context.Context, r *reply, attempts int) bool {
 	c, now := p.call, time.Now()
 	p.mu.Lock()
-	sent := p.sent
+	reached := len(p.reached)
 	p.mu.Unlock()
 	switch {
-	case ctx.Err() != nil || attempts >= maxGatesPerCall || !now.Before(c.deadline):
+	case ctx.Err() != nil || !now.Before(c.deadline) || attempts >= maxSendsPerCall:
+		return false
+	case attempts >= maxGatesPerCall && r.code != crcode.ServerRefused:
 		return false
 	case c.length != 0 && !c.bodyBuffered:
 		return false
@@ -252,16 +261,21 @@
 	case r.downstreamFailed:
 		// A downstream service failed, and calls of another server would fail there too.
 		return false
-	case sent == 0:
+	case reached == 0:
 		// No server has received the call, so another gate does not count as a retry.
 		return true
-	case sent >= p.route.MaxAttempts:
+	case reached >= p.route.MaxAttempts && r.code != crcode.ServerRefused:
+		// A server that refused the call has not run it, so that it may get the call once more.
+		return false
+	}
+	if !c.quota.reserve() {
 		return false
 	}
 	if !p.budget.Allow(now) {
 		p.node.Counters.Add("retries_denied", 1)
 		return false
 	}
+	c.repeat = true
 	p.node.Counters.Add("retries", 1)
 	p.node.Log.Emit(now, crevent.Failure, crevent.SentAgain, crevent.KeyID, c.id, crevent.KeyService, c.service, crevent.KeyTry, attempts,
 		crevent.KeyCode, r.code, crevent.KeyStatus, r.status, crevent.KeyLeft, c.deadline.Sub(now).Round(time.Millisecond))
@@ -300,6 +314,8 @@
 		res.Outcome = crrouter.Cancelled
 	case r.code == crcode.NoServer || r.code == crcode.StaleIncarnation:
 		res.Outcome = crrouter.Unreachable
+	case r.code == crcode.ServerRefused && r.speed != nil && r.speed.Acceptance >= refusingAcceptance:
+		res.Outcome = crrouter.Refused
 	case r.code == crcode.ServerRefused:
 		// The gate never exceeds the server's slots, so a server that refuses is at fault.
 		res.Outcome = crrouter.Failed
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -22,10 +22,10 @@
 // applyFeedback records the load, origin and cost that an answer reports.
 func (n *Node) applyFeedback(now time.Time, node string, c *call, r *reply) {
 	if r.load != nil {
-		n.board.UpdateFromGate(now, c.service, node, r.pressure, r.load.InFlight+r.load.Queued)
+		n.storePressure(now, c.service, node, r)
 	}
 	for _, e := range r.board {
-		n.board.UpdateRelayed(now, e.Service, e.Pressure, e.Age)
+		n.board.StoreEntry(now, e)
 	}
 	n.origins.set(c.route, r.origin)
 	if r.cost != nil {
@@ -53,6 +53,14 @@
 			seconds = 0
 		}
 		v, excess := n.admittedFraction(now, c, s, seconds, p)
+		switch {
+		case s == c.service && n.makesNoCalls(c) && n.board.Refusing(now, s):
+			// Unlike a chain such a request is lost with one refused call only, whether others are admitted or not.
+			p = n.board.DirectPressure(now, s)
+			v, excess = n.shares.UnsmoothedFraction(s, c.priority, p), false
+		case seconds > 0:
+			v = n.shares.FractionOfLittle(s, c.priority, time.Duration(seconds*float64(time.Second)), v)
+		}
 		if known && n.services.lacksServers(s) {
 			// The service has no servers. A few requests are still admitted, to find out when the route no longer uses
 			// it.
@@ -115,7 +123,8 @@
 	}
 	n.Counters.Add("shed", 1)
 	n.Log.Emit(now, crevent.Failure, crevent.Rejected, crevent.KeyID, c.id, crevent.KeyRoute, c.route, crevent.KeyService, service,
-		crevent.KeyPriority, c.priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, reason)
+		crevent.KeyPriority, c.priority, crevent.KeyShare, share, crevent.KeyPressure, pressure, crevent.KeyReason, reason,
+		crevent.KeyDetail, n.shedDetail(now, service))
 	return failureReply(crcode.Overloaded, "shed")
 }
 
--- a/internal/crreplay/crreplay_test.go
+++ b/internal/crreplay/crreplay_test.go
@@ -126,3 +126,48 @@
 		qt.Assert(t, earned >= 0.9*x.PossibleShare, qt.IsTrue, qt.Commentf("share %.3f in second %d; %.3f was possible", earned, back+i, x.PossibleShare))
 	}
 }
+
+// TestRefusingServers replays three of four servers at the end of the call chains that refuse most of their runs. It guards
+// against entrances that admit chains which then fail midway, against an order of the priorities that is not kept, and against a
+// least important kind that is shut out.
+func TestRefusingServers(t *testing.T) {
+	// Entrances learn of the refusals, which last from 3 s to 11.5 s, within a second; chains admitted before end by 5 s.
+	const from, to = 5, 11
+	l := read(t, "refusing_servers.toml")
+	x := l.Run(1)
+	t.Logf("\n%s", x)
+	for i, s := range x.Seconds[from:to] {
+		qt.Assert(t, s.Failed < s.Served+s.Refused, qt.IsTrue, qt.Commentf("%d of %d chains failed midway in second %d", s.Failed, s.Requests, from+i))
+	}
+	redirect, track, scan := x.Row("redirect"), x.Row("track"), x.Row("scan")
+	qt.Assert(t, served(redirect) >= served(track)-0.05, qt.IsTrue)
+	qt.Assert(t, served(scan) >= served(track)-0.05, qt.IsTrue)
+	qt.Assert(t, served(track) >= 0.25, qt.IsTrue)
+}
+
+// TestRetriesFinishChains replays the same load with the whole retry ratio at the service that refuses, and with the quarter of it
+// that each level of a call graph may use where calls of repeated runs are not known. It guards against a part of the ratio that
+// is left unused while chains fail.
+func TestRetriesFinishChains(t *testing.T) {
+	l := read(t, "refusing_servers.toml")
+	finished := map[float64]int{}
+	for _, ratio := range []float64{l.RetryRatio, l.RetryRatio / 4} {
+		l.RetryRatio = ratio
+		x := l.Run(1)
+		finished[ratio] = x.Row("redirect").InTime + x.Row("track").InTime
+	}
+	t.Logf("chains finished by retry ratio: %v", finished)
+	qt.Assert(t, finished[0.2] > finished[0.05], qt.IsTrue)
+}
+
+// TestRefusingMiddle replays refusals where most of the work is of the middle one of three priorities. It guards against chains of
+// that priority that are served less often than the shorter chains of the least important one.
+func TestRefusingMiddle(t *testing.T) {
+	l := read(t, "refusing_middle.toml")
+	x := l.Run(1)
+	t.Logf("\n%s", x)
+	lookup, statement, post := x.Row("lookup"), x.Row("statement"), x.Row("post")
+	qt.Assert(t, served(lookup) >= served(statement)-0.05, qt.IsTrue)
+	qt.Assert(t, served(statement) >= served(post)-0.05, qt.IsTrue, qt.Commentf("%.3f and %.3f", served(statement), served(post)))
+	qt.Assert(t, served(post) >= 0.25, qt.IsTrue)
+}
--- a/internal/crreplay/model.go
+++ b/internal/crreplay/model.go
@@ -58,7 +58,8 @@
 	shares  crshed.Admitter
 	roots   crshed.RootRates
 	routers map[string]*crrouter.Router
-	retries map[string]*crbudget.Ratio
+	retries map[string]*retryBudget
+	repeats crbudget.Repeats
 }
 
 // server is a server and its gate.
@@ -71,6 +72,7 @@
 	queue       cradmission.Queue
 	ranks       cradmission.Ranks
 	regulator   crshed.Regulator
+	refusals    crshed.Refusals
 	lastCounted time.Duration
 	// leaving is true while the server takes no new work; returnedAt is when it returned; listed is true while the directory of
 	// the callers lists it.
@@ -89,6 +91,8 @@
 	fromServer bool
 	// rates are the admitted shares of the work offered for each service when the entrance admitted the client request.
 	rates crshed.Rates
+	// repeat is true if the run counts as a repeat.
+	repeat bool
 	// counted is true once a gate has counted the work as offered load.
 	counted bool
 	done    func(good, refused bool)
@@ -124,7 +128,7 @@
 		rows: map[string]*Row{}, busy: map[string]float64{},
 	}
 	for range l.Nodes {
-		m.nodes = append(m.nodes, &node{routers: map[string]*crrouter.Router{}, retries: map[string]*crbudget.Ratio{}})
+		m.nodes = append(m.nodes, &node{routers: map[string]*crrouter.Router{}, retries: map[string]*retryBudget{}})
 	}
 	next := 0
 	for i := range l.Services {
@@ -156,6 +160,11 @@
 			m.schedule(time.Duration(p.At+p.For), func() { m.setLeaving(p, false) })
 		}
 	}
+	for _, n := range m.nodes {
+		for name, list := range m.servers {
+			n.board.UpdateServers(map[string]int{name: len(list)})
+		}
+	}
 	m.seconds = make([]Second, (time.Duration(l.Length)+time.Second-1)/time.Second)
 	m.schedule(crshed.TickInterval, m.tick)
 	return m
@@ -331,6 +340,7 @@
 		for _, s := range list {
 			m.updateOccupancy(s)
 			s.regulator.Tick(m.clock())
+			s.refusals.Tick(m.clock())
 			second.Pressure, second.Queued = max(second.Pressure, s.regulator.Pressure()), max(second.Queued, s.queue.Len())
 		}
 	}
--- a/internal/crreplay/path.go
+++ b/internal/crreplay/path.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/cradmission"
-	"github.com/citronramp/citronramp/pkg/crbudget"
 	"github.com/citronramp/citronramp/pkg/crrouter"
 	"github.com/citronramp/citronramp/pkg/crshed"
 )
@@ -20,16 +19,14 @@
 	r = &crrouter.Router{Rand: m.rnd}
 	r.Update(m.clock(), m.listedServers(service))
 	n.routers[service] = r
-	n.retries[service] = &crbudget.Ratio{PerSuccess: retryRatio, PerSecond: 1e-6, Burst: 1}
+	n.retries[service] = newRetryBudget(len(m.nodes), m.load.RetryRatio, m.rnd.Float64)
 	return r
 }
 
 // Limits for the sends of one request, equal to those of real nodes.
 const (
-	// maxSends is the number of gates that one request may be sent to. retryRatio limits the requests to a service that may be
-	// sent to a second server after the first rejected them.
-	maxSends   = 4
-	retryRatio = 0.05
+	// maxSends is the number of gates that one request may be sent to.
+	maxSends = 4
 )
 
 // outcome is the result of one send.
@@ -69,7 +66,7 @@
 	s := m.servers[w.kind.Service][i]
 	sent := m.now
 	if len(tried) == 0 {
-		w.node.retries[w.kind.Service].RecordSuccess()
+		w.node.recordCall(m.clock(), w)
 	}
 	answer := func(o outcome) {
 		report := s.currentLoad(m.clock())
@@ -91,20 +88,21 @@
 	if o <= failed || sends >= maxSends || m.now >= w.deadline {
 		return false
 	}
-	return o != rejected || sends < 2 && w.node.retries[w.kind.Service].Allow(m.clock())
+	return o != rejected || sends < maxAttempts && w.node.takeRetry(m.clock(), w)
 }
 
 // currentLoad is the load information that an answer carries.
 type loadReport struct {
 	service, server string
 	pressure        float64
+	refused         float64
 	relayed         []crshed.Entry
 	feedback        *crrouter.Feedback
 }
 
 func (s *server) currentLoad(now time.Time) loadReport {
 	return loadReport{
-		s.service.Name, s.id, s.regulator.Pressure(), s.node.board.Entries(now, 4),
+		s.service.Name, s.id, s.regulator.Pressure(), s.refusals.Share(), s.node.board.Entries(now, 4),
 		&crrouter.Feedback{InFlight: s.running, Limit: s.service.Slots, Queued: s.queue.Len()},
 	}
 }
@@ -112,9 +110,10 @@
 // storeAt updates the pressure table of the node that receives the answer.
 func (t *loadReport) storeAt(now time.Time, n *node) {
 	n.board.UpdateFromGate(now, t.service, t.server, t.pressure, t.feedback.InFlight+t.feedback.Queued)
+	n.board.UpdateCapacity(t.service, t.server, crshed.ServerCapacity{Limit: t.feedback.Limit, Refused: t.refused})
 	for _, e := range t.relayed {
 		if e.Service != t.service {
-			n.board.UpdateRelayed(now, e.Service, e.Pressure, e.Age)
+			n.board.StoreEntry(now, e)
 		}
 	}
 }
@@ -123,7 +122,7 @@
 func (m *model) serverRejects(s *server) bool {
 	share := 0.0
 	m.eachActivePhase(func(p Phase) {
-		if p.Service == s.service.Name {
+		if p.Service == s.service.Name && (p.RefusingServers == 0 || slices.Index(m.servers[p.Service], s) < p.RefusingServers) {
 			share = max(share, p.RefusedShare)
 		}
 	})
@@ -153,16 +152,21 @@
 		s.regulator.RecordArrival(need, w.rates.Of(s.service.Name))
 	}
 	run := func() {
-		if m.serverRejects(s) {
+		rejects := m.serverRejects(s)
+		s.refusals.Record(rejects, s.running, s.service.Slots)
+		if rejects {
 			answer(rejected)
 			return
 		}
 		s.running++
 		s.node.roots.RunStarted(w.rates)
+		repeat := w.repeat
+		s.node.repeats.RunStarted(w.kind.Name, repeat)
 		m.updateOccupancy(s)
 		m.run(s, w, func(good bool) {
 			s.running--
 			s.node.roots.RunEnded(w.rates)
+			s.node.repeats.RunEnded(w.kind.Name, repeat)
 			if good {
 				answer(answered)
 			} else {
--- a/pkg/crroute/organisation.go
+++ b/pkg/crroute/organisation.go
@@ -41,6 +41,7 @@
 		return crcode.New(crcode.BadValue, "organisation %q: the rate %v or the burst %v is no number from 0", o.Name, o.Quota.Rate, o.Quota.Burst)
 	}
 	t.organisations[o.Name] = o
+	t.quotas = t.quotas || o.Quota.Limited()
 	for _, k := range o.Keys {
 		if k == "" {
 			return crcode.New(crcode.BadValue, "organisation %q has an empty key", o.Name)
@@ -61,5 +62,30 @@
 // OrganisationNamed returns the organisation with the name, or nil.
 func (t *Table) OrganisationNamed(name string) *Organisation { return t.organisations[name] }
 
+// HasQuotas reports whether an organisation has a quota.
+func (t *Table) HasQuotas() bool { return t.quotas }
+
 // HasOrganisations reports whether requests need the key of an organisation, except on anonymous routes.
 func (t *Table) HasOrganisations() bool { return len(t.organisations) > 0 }
+
+// ranksPerPriority is the number of route priorities that are told apart within one priority of an organisation.
+const ranksPerPriority = 256
+
+// Rank returns the rank of a request of the route; 0 is the most important. The priority of the organisation, which may be nil,
+// goes first, and that of the route orders requests of equal ones: otherwise an organisation's cheap urgent requests would be
+// refused together with its long ones. Without organisations the rank is the priority of the route.
+func (t *Table) Rank(r *Route, o *Organisation) int {
+	if !t.HasOrganisations() {
+		return r.Priority
+	}
+	first := r.Priority
+	if o != nil && o.Priority != nil {
+		first = *o.Priority
+	}
+	return clampPriority(first)*ranksPerPriority + clampPriority(r.Priority)
+}
+
+// RoutePart returns the part of a rank that the priority of the route determines, for a table with organisations.
+func RoutePart(rank int) int { return rank % ranksPerPriority }
+
+func clampPriority(p int) int { return min(max(p, 0), ranksPerPriority-1) }
