--- a/internal/crforward/speed_test.go
+++ b/internal/crforward/speed_test.go
@@ -39,7 +39,7 @@
 	got = reply{}
 	n.readSpeed(http.Header{}, &got)
 	qt.Assert(t, got.speed, qt.IsNil)
-	n.ledger = &crcost.Estimator{}
+	n.ledger, n.gate = &crcost.Estimator{}, newGate(n)
 	line := n.formatAnswer(&call{route: "/p/"}, &reply{code: crcode.OK, speed: &sent, load: &crrouter.Feedback{}}, now)
 	qt.Assert(t, strings.Count(line, ";"), qt.Equals, 8)
 }
