--- a/internal/crsettings/crsettings.go
+++ b/internal/crsettings/crsettings.go
@@ -33,6 +33,9 @@
 	MaxBodyBytes int
 	// MaxRequests limits the concurrent requests of outside callers at this node.
 	MaxRequests int
+	// MemoryMB is the memory limit of the process in MiB, MaxFDs the number of descriptors that it may open.
+	MemoryMB int
+	MaxFDs   int
 	// QueueLength limits the requests that wait in the queue of the gate, the node's admission control.
 	QueueLength int
 	// QueueTime limits how long one request waits in the queue of the gate.
--- a/internal/crsettings/fields.go
+++ b/internal/crsettings/fields.go
@@ -16,9 +16,12 @@
 const (
 	defaultMaxBodyBytes = 1 << 20
 	defaultMaxRequests  = 2000
-	defaultQueueLength  = 400
-	defaultQueueTime    = 100 * time.Millisecond
-	defaultStopTimeout  = 30 * time.Second
+	// defaultMemoryMB holds the bodies of a few hundred of the largest requests.
+	defaultMemoryMB    = 512
+	defaultMaxFDs      = 4096
+	defaultQueueLength = 400
+	defaultQueueTime   = 100 * time.Millisecond
+	defaultStopTimeout = 30 * time.Second
 )
 
 // minSecretBytes is the minimum length of the shared secret, so that it cannot be guessed.
