crintake: one budget for what a process holds for clients

Cause: net/http parses whatever clients send up to 64 KiB (1 MiB at the control listener and at coordinators), a short header line takes 160 bytes of memory, and nothing bounds the sum over all clients or the number of connections. The operator's max-header-bytes was not applied.

Change: crintake.Budget charges each head (3 bytes for a byte, 256 for a line) before net/http parses it, until its request has been answered. When an eighth of the memory limit is spent, the largest holder that waits for its client is ended, or the request refused with 503. Heads above max-header-bytes or 8,192 lines get 431, more than 8 empty lines a close. Connections are bounded by half of max-fds less 64, and by a quarter of the memory; the one that has waited longest is closed for a new one. What crpipeline reads ahead is charged too. The soft limit of the garbage collector is 0.8 of the memory limit. The listeners of operators, servers, readiness and metrics get an idle limit of 2 minutes and heads of 64 KiB.

Measured: go test ./internal/crintake passes; 31 of its cases failed before. Tests of crforward, crpipeline, cradmin, crevent, platform, crsettings, crcoord and crcli pass. FuzzScan ran 20 s without a find.

--- a/internal/cradmin/cradmin.go
+++ b/internal/cradmin/cradmin.go
@@ -22,6 +22,10 @@
 const (
 	// readHeaderTimeout closes connections on which a client does not send a request header in time.
 	readHeaderTimeout = 2 * time.Second
+	// idleTimeout exceeds the interval of any client that calls regularly.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is far above the heads of operators and servers.
+	maxHeaderBytes = 64 << 10
 	// stopGrace limits how long a stop waits for requests in flight.
 	stopGrace = 2 * time.Second
 )
@@ -48,9 +52,15 @@
 	return mux
 }
 
+// attacher is a listener that follows the states of its connections.
+type attacher interface{ Attach(s *http.Server) }
+
 // Serve serves h on ln until ctx ends, and returns after the requests in flight have been answered or stopGrace has passed.
 func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if a, ok := ln.(attacher); ok {
+		a.Attach(srv)
+	}
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(done)
--- a/internal/crcli/run.go
+++ b/internal/crcli/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/citronramp/citronramp/internal/cradmin"
 	"github.com/citronramp/citronramp/internal/crcontrol"
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/internal/crnode"
 	"github.com/citronramp/citronramp/internal/crsettings"
 )
@@ -31,6 +32,7 @@
 			if err != nil {
 				return err
 			}
+			crintake.SetSoftMemoryLimit(int64(set.Node.MemoryMB) << 20)
 			n := &crnode.Node{Settings: *set.Node, Callers: ln[0], Inner: ln[1], Admin: ln[2], Logger: logger}
 			n.Counters.Publish("citronramp")
 			return exitStatus(s, n.Run(ctx))
--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -17,6 +17,7 @@
 	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crdocument"
 	"github.com/citronramp/citronramp/internal/crevent"
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/internal/crreplica"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crlog"
@@ -38,6 +39,9 @@
 	FirstStart bool
 	// ToleratedFailures is the number of coordinators that may fail at the same time; it determines the number of voters.
 	ToleratedFailures int
+	// MemoryBytes is the memory limit of the process, MaxDescriptors the number of descriptors that it may open.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// StopTimeout bounds the transfer of leadership at a planned stop.
 	StopTimeout time.Duration
 }
@@ -57,6 +61,7 @@
 	packCache      crdocument.PackCache
 	hints          hints
 	notices        *softStateFile
+	intake         crintake.Budget
 	replica        *crreplica.Replica
 	directory      *crdirectory.Server
 	peers          peers
@@ -157,10 +162,11 @@
 		})
 	})
 	c.wg.Go(func() { c.notices.loop(ctx) })
-	c.wg.Go(func() { c.logUnexpectedEnd("api", cradmin.Serve(ctx, c.API, c.Handler)) })
+	api, admin := c.clientListeners()
+	c.wg.Go(func() { c.logUnexpectedEnd("api", cradmin.Serve(ctx, api, c.Handler)) })
 	if c.Admin != nil {
 		c.wg.Go(func() {
-			c.logUnexpectedEnd("admin", cradmin.Serve(ctx, c.Admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
+			c.logUnexpectedEnd("admin", cradmin.Serve(ctx, admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
 		})
 	}
 }
--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -45,6 +45,7 @@
 	MemberChange     Event = "member_change"
 	PressureChanged  Event = "pressure_changed"
 	CostLearned      Event = "cost_learned"
+	ClientBounded    Event = "client_bounded"
 )
 
 // Keys of the values of a log line.
--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -15,7 +15,7 @@
 	"github.com/citronramp/citronramp/internal/cradmin"
 	"github.com/citronramp/citronramp/internal/crdirectory"
 	"github.com/citronramp/citronramp/internal/crevent"
-	"github.com/citronramp/citronramp/internal/crexchange"
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/internal/crpipeline"
 	"github.com/citronramp/citronramp/internal/crwire"
 	"github.com/citronramp/citronramp/pkg/crclock"
@@ -62,8 +62,9 @@
 	RetryRatio float64
 	// Heartbeat is the interval of the backend server's reports.
 	Heartbeat time.Duration
-	// MemoryBytes is the memory limit of the process.
-	MemoryBytes int64
+	// MemoryBytes is the memory limit of the process, MaxDescriptors the number of descriptors that it may open.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// StopTimeout is the time from the stop signal until the process is killed.
 	StopTimeout time.Duration
 }
@@ -100,6 +101,7 @@
 	departures   departures
 	peers        peerClients
 	bodyBudget   bodyBudget
+	intake       crintake.Budget
 	board        crshed.PressureTable
 	shares       crshed.Admitter
 	costs        routeCosts
@@ -144,13 +146,16 @@
 	entrance := n.server(http.HandlerFunc(n.serveEntrance), entranceIdleTimeout)
 	inbound := n.server(http.HandlerFunc(n.serveInbound), inboundIdleTimeout)
 	entrance.ConnContext = crpipeline.ConnContext
-	n.wg.Go(func() { n.logTaskEnd("entrance", entrance.Serve(crpipeline.Listen(crexchange.Listen(n.Entrance)))) })
-	n.wg.Go(func() { n.logTaskEnd("inbound", inbound.Serve(crexchange.Listen(n.Inbound))) })
-	n.wg.Go(func() { n.logTaskEnd("ready", cradmin.Serve(tasks, n.Ready, n.readyHandler())) })
-	n.wg.Go(func() { n.logTaskEnd("control", cradmin.Serve(tasks, n.Control, n.ControlHandler)) })
+	ln := n.listeners()
+	ln.entrance.Attach(entrance)
+	ln.inbound.Attach(inbound)
+	n.wg.Go(func() { n.logTaskEnd("entrance", entrance.Serve(ln.entrance)) })
+	n.wg.Go(func() { n.logTaskEnd("inbound", inbound.Serve(ln.inbound)) })
+	n.wg.Go(func() { n.logTaskEnd("ready", cradmin.Serve(tasks, ln.ready, n.readyHandler())) })
+	n.wg.Go(func() { n.logTaskEnd("control", cradmin.Serve(tasks, ln.control, n.ControlHandler)) })
 	if n.Admin != nil {
 		n.wg.Go(func() {
-			n.logTaskEnd("admin", cradmin.Serve(tasks, n.Admin, (&cradmin.Admin{Dumper: n, Counters: &n.Counters}).Handler()))
+			n.logTaskEnd("admin", cradmin.Serve(tasks, ln.admin, (&cradmin.Admin{Dumper: n, Counters: &n.Counters}).Handler()))
 		})
 	}
 	n.wg.Go(func() { n.follow(tasks, primaryLink) })
--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -76,6 +77,8 @@
 func (n *Node) declareMetrics() {
 	n.Counters.Declare("answered", "retries", "retries_denied", "reports_stale", "reports_refused", "coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes",
 		"suspects", "suspect_waits", "convictions", "quarantine_refused")
+	n.Counters.Declare(crintake.CounterNames()...)
+	n.Counters.Gauge("intake_bytes", func() any { return n.intake.Used() })
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
 	n.Counters.Gauge("config_version", func() any {
 		if t := n.table.Load(); t != nil {
--- a/internal/crintake/deploy_test.go
+++ b/internal/crintake/deploy_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,23 +50,30 @@
 	heartbeatEvery = 300 * time.Millisecond
 )
 
-var programPath string
+// programDir is the folder of the program that the tests start; it is empty until a test has needed it.
+var programDir string
 
-// TestMain builds the program that the tests start.
+// program builds the program once and returns its path.
+var program = sync.OnceValues(func() (string, error) {
+	var err error
+	if programDir, err = os.MkdirTemp("", "crintake"); err != nil {
+		return "", err
+	}
+	path := filepath.Join(programDir, "citronramp")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/citronramp/citronramp/cmd/citronramp").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return path, err
+})
+
+// TestMain removes the program after the tests.
 func TestMain(m *testing.M) {
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "crintake")
-		if err != nil {
-			panic(err)
-		}
-		defer func() { _ = os.RemoveAll(dir) }()
-		programPath = filepath.Join(dir, "citronramp")
-		out, err := exec.Command("go", "build", "-o", programPath, "github.com/citronramp/citronramp/cmd/citronramp").CombinedOutput()
-		if err != nil {
-			panic(fmt.Sprintf("%v: %s", err, out))
-		}
-		return m.Run()
-	}())
+	code := m.Run()
+	if programDir != "" {
+		_ = os.RemoveAll(programDir)
+	}
+	os.Exit(code)
 }
 
 // process is a process of the system that the test started.
@@ -83,7 +91,9 @@
 	p := &process{log: file + ".log", done: make(chan struct{})}
 	log, err := os.Create(p.log)
 	qt.Assert(t, err, qt.IsNil)
-	cmd := exec.Command(programPath, append(args, "--settings", file)...)
+	path, err := program()
+	qt.Assert(t, err, qt.IsNil)
+	cmd := exec.Command(path, append(args, "--settings", file)...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
 	qt.Assert(t, cmd.Start(), qt.IsNil)
--- a/internal/crnode/crnode.go
+++ b/internal/crnode/crnode.go
@@ -18,6 +18,7 @@
 	"github.com/citronramp/citronramp/internal/cradmin"
 	"github.com/citronramp/citronramp/internal/crconfig"
 	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/internal/crkeeper"
 	"github.com/citronramp/citronramp/internal/crring"
 	"github.com/citronramp/citronramp/internal/crsettings"
@@ -76,6 +77,7 @@
 
 	crashMu         sync.Mutex
 	quarantine      crquarantine.Tracker
+	intake          crintake.Budget
 	crashedInstance string
 	// lastAbandoned is the last run that ended without an answer while the backend server may have continued it.
 	lastAbandoned conviction
--- a/internal/crnode/dump.go
+++ b/internal/crnode/dump.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/citronramp/citronramp/internal/crintake"
 )
 
 // serverDump is one server of a service in the state dump.
@@ -142,6 +144,8 @@
 // gauges registers the values that are computed when the counters are read.
 func (n *Node) gauges() {
 	n.Counters.Declare(counterNames...)
+	n.Counters.Declare(crintake.CounterNames()...)
+	n.Counters.Gauge("intake_bytes", func() any { return n.intake.Used() })
 	n.Counters.Gauge("kinds", func() any { return n.goodput.snapshot() })
 	n.Counters.Gauge("requests_in_node", func() any { return n.requests.inFlight() })
 	n.Counters.Gauge("gate_limit", func() any { return n.gate.load().Limit })
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -70,7 +70,9 @@
 			_ = level.Info(n.Logger).Log("msg", "the machine was suspended", "took", slept)
 		})
 	})
-	p.run(ctx, func(context.Context) { p.logFailure("callers", p.http.Serve(n.Callers)) })
+	callers := n.callersListener()
+	callers.Attach(p.http)
+	p.run(ctx, func(context.Context) { p.logFailure("callers", p.http.Serve(callers)) })
 	return p, nil
 }
 
--- a/internal/crpipeline/crpipeline.go
+++ b/internal/crpipeline/crpipeline.go
@@ -26,7 +26,9 @@
 	maxAheadBytes = 32 << 10
 	// maxAheadChunks bounds the overhead of many small packets.
 	maxAheadChunks = 64
-	chunkBytes     = 4 << 10
+	// chunkOverhead is what a buffered chunk takes beside its data.
+	chunkOverhead = 64
+	chunkBytes    = 4 << 10
 	// maxLinger bounds the time in which a closed connection still reads what its client sends.
 	maxLinger = 500 * time.Millisecond
 )
@@ -61,7 +63,12 @@
 	arrivedAt time.Time
 	// pipelined is set when a read ahead has started.
 	pipelined bool
-	closing   sync.Once
+	// reserve grants memory for what is read ahead, and takes it back as a negative number. reserved is the sum that it
+	// has granted; a closed connection reserves nothing.
+	reserve  func(n int) bool
+	reserved int
+	closed   bool
+	closing  sync.Once
 }
 
 // chunk is the data of one read.
@@ -80,16 +87,24 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped := &Conn{Conn: c, cancel: func() {}}
+	wrapped := &Conn{Conn: c, cancel: func() {}, reserve: func(int) bool { return true }}
 	wrapped.changed.L = &wrapped.mu
 	return wrapped, nil
 }
 
+// LimitReadAhead sets the function that grants the memory for what the connection reads ahead: it is called with a number
+// of bytes before they are read, and with a negative number when they have been delivered. The connection reads no
+// further ahead while it reports false. It is called with the lock of the connection held.
+func (c *Conn) LimitReadAhead(reserve func(n int) bool) { c.reserve = reserve }
+
 type connKey struct{}
 
 // ConnContext returns the context of a connection, which is cancelled when the client disconnects. It is for
 // http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
 	wrapped, ok := c.(*Conn)
 	if !ok {
 		return ctx
@@ -140,7 +155,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	if probe && !c.reading && c.err == nil {
+	if probe && !c.reading && c.err == nil && c.settle(true) {
 		c.pipelined, c.reading = true, true
 		go c.readAhead()
 	}
@@ -171,9 +186,24 @@
 	if first.bytes = first.bytes[n:]; len(first.bytes) == 0 {
 		c.buffered = c.buffered[1:]
 	}
+	c.settle(c.reading)
 	return n
 }
 
+// settle adapts the reserved memory to the buffered data and, if the connection continues to read ahead, the next chunk.
+// It reports whether the memory was granted. The caller holds the lock.
+func (c *Conn) settle(more bool) bool {
+	want := c.bufferedBytes + len(c.buffered)*chunkOverhead
+	if more {
+		want += chunkBytes
+	}
+	if c.closed || !c.reserve(want-c.reserved) {
+		return false
+	}
+	c.reserved = want
+	return true
+}
+
 // deliver records the delivery of data that arrived at the given time and returns how much of it is delivered: up to the
 // end of the first head.
 func (c *Conn) deliver(at time.Time, p []byte) int {
@@ -240,6 +270,9 @@
 			}
 		}
 		c.reading = err == nil && !c.wantsRequest && c.bufferedBytes < maxAheadBytes && len(c.buffered) < maxAheadChunks
+		if c.reading = c.reading && c.settle(true); !c.reading {
+			c.settle(false)
+		}
 		more := c.reading
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -269,6 +302,9 @@
 	c.closing.Do(func() {
 		c.cancel()
 		c.mu.Lock()
+		c.closed = true
+		c.reserve(-c.reserved)
+		c.reserved = 0
 		linger := c.pipelined && (c.err == nil || errors.Is(c.err, os.ErrDeadlineExceeded))
 		c.mu.Unlock()
 		if !linger || c.CloseWrite() != nil {
