--- a/internal/crevent/vocabulary.go
+++ b/internal/crevent/vocabulary.go
@@ -50,6 +50,7 @@
 	LeaseHeld        Event = "lease_held"
 	QuotaReached     Event = "quota_reached"
 	QuotaFree        Event = "quota_free"
+	ClientBounded    Event = "client_bounded"
 )
 
 // Keys of the values of a log line.
