crfair, crforward: a least share of each organisation over all priorities

Cause: an organisation whose requests all have a low priority got 0.06 of the served share of all while 8 that go before it filled the service; a quarter is required. Change: an organisation that is served less than 0.28 of the share of all gets that fraction, whatever the priority. The order is kept among organisations of equal priority. Measured: tests of fairness in ./internal/crforward pass, ./pkg/crfair, ./pkg/crlease, ./pkg/crshed pass.

--- a/internal/crforward/fairness.go
+++ b/internal/crforward/fairness.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/pkg/crfair"
+	"github.com/citronramp/citronramp/pkg/crroute"
 )
 
 // admittedFraction counts a request as offered load of a service that it uses for the given time, unless that is unknown and
@@ -12,7 +13,9 @@
 func (n *Node) admittedFraction(now time.Time, c *call, service string, seconds, pressure float64) (fraction float64, excess bool) {
 	var parts crfair.Parts
 	if seconds > 0 && n.divides() {
-		r := crfair.Request{Service: service, Organisation: c.organisation, Priority: c.priority, Work: seconds}
+		r := crfair.Request{
+			Service: service, Organisation: c.organisation, Priority: c.priority, Group: c.priority - crroute.RoutePart(c.priority), Work: seconds,
+		}
 		excess, parts = n.fair.Record(now, r, pressure > 1)
 		excess = excess && parts.Service > 0
 	}
@@ -30,6 +33,15 @@
 	}), true
 }
 
+// leastFraction returns the fraction of requests like c to admit, which is raised while the organisation of c is served less
+// than its least share.
+func (n *Node) leastFraction(now time.Time, c *call, service string, fraction float64) float64 {
+	if !n.divides() {
+		return fraction
+	}
+	return n.fair.AtLeast(now, crfair.Request{Service: service, Organisation: c.organisation}, fraction)
+}
+
 // totalAdmittedFraction returns the share of all work offered for a service that is admitted under the pressure.
 func (n *Node) totalAdmittedFraction(now time.Time, service string, pressure float64) float64 {
 	parts := crfair.Parts{Service: n.fair.Excess(service)}
--- a/internal/crforward/pressure.go
+++ b/internal/crforward/pressure.go
@@ -61,6 +61,7 @@
 		case seconds > 0:
 			v = n.shares.FractionOfLittle(s, c.priority, time.Duration(seconds*float64(time.Second)), v)
 		}
+		v = n.leastFraction(now, c, s, v)
 		if known && n.services.lacksServers(s) {
 			// The service has no servers. A few requests are still admitted, to find out when the route no longer uses
 			// it.
--- a/pkg/crfair/crfair.go
+++ b/pkg/crfair/crfair.go
@@ -35,9 +35,11 @@
 	// that time, and that many requests, since at a small entrance an organisation sends less than one in a second.
 	burstTime     = 500 * time.Millisecond
 	burstRequests = 8
-	// leastShare is the least part of the admitted share that each organisation gets. The requirement is a quarter; the rest
-	// is for the error of the estimate.
-	leastShare = 0.27
+	// leastShare is the least part of the served share of all requests that each organisation gets, also one whose requests are
+	// all of a low priority. The requirement is a quarter; the rest is for the error of the estimate. servedTimeConstant is the
+	// time constant of the served shares; as fractions and not outcomes are summed, few requests suffice.
+	leastShare         = 0.28
+	servedTimeConstant = 2 * time.Second
 	// chanceExcess is the part of the work for a service up to which excess counts as chance; of random arrivals at the usual
 	// rates, 2 to 4% exceed the allowances.
 	chanceExcess = 0.05
@@ -62,6 +64,9 @@
 	// Organisation is empty for requests without one, which never exceed the usual.
 	Organisation string
 	Priority     int
+	// Group holds the priorities that keep their order whatever exceeds the usual: those of requests of organisations with equal
+	// priorities. Between groups the excess of an organisation is no reason to serve the others less.
+	Group int
 	// Work is the time that the request and its calls take of the service, in seconds.
 	Work float64
 }
@@ -69,9 +74,8 @@
 // Parts says how much of the recent work exceeds what is usual.
 type Parts struct {
 	// Service is the part in excess of the work for the service; it is zero while it may be chance. Priority is that of the
-	// work of the request's priority, Next of the next less important one, which is 1 if there is none, and Own of the request's
-	// organisation.
-	Service, Priority, Next, Own float64
+	// work of the request's priority, and Next of the next less important one of its group, which is 1 if there is none.
+	Service, Priority, Next float64
 	// Top is the work in excess of the request's priority as a part of all work for the service, if no priority is more
 	// important and one is less; otherwise it is zero.
 	Top float64
@@ -98,6 +102,7 @@
 	// allowance is the work that the organisation may send without exceeding its usual.
 	allowance float64
 	recent    composition
+	served    served
 }
 
 // service sums the accounts of a service.
@@ -106,6 +111,7 @@
 	usual     float64
 	accounts  int
 	recent    composition
+	served    served
 	classes   map[int]*composition
 }
 
@@ -113,6 +119,7 @@
 type composition struct {
 	at             time.Time
 	within, excess float64
+	group          int
 }
 
 func (c *composition) add(now time.Time, constant time.Duration, work float64, excess bool) {
@@ -146,9 +153,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.service(now, r.Service)
-	class := s.class(r.Priority)
+	class := s.class(r.Priority, r.Group)
 	// The request itself is left out, since it would lower the fraction of the requests that are like it.
-	parts = Parts{Service: s.evidentExcess(), Priority: class.excessPart(), Next: s.nextExcess(r.Priority), Top: s.topExcess(now, r.Priority)}
+	parts = Parts{Service: s.evidentExcess(), Priority: class.excessPart(), Next: s.nextExcess(r.Priority, r.Group), Top: s.topExcess(now, r.Priority)}
 	if r.Organisation != "" {
 		a := d.account(now, s, r)
 		// The allowance may fall below zero by one request, so that large requests are no more often in excess than small ones.
@@ -160,7 +167,6 @@
 			s.usual += r.Work / usualTimeConstant.Seconds()
 		}
 		a.recent.add(now, presentTimeConstant, r.Work, excess)
-		parts.Own = a.recent.excessPart()
 	}
 	class.add(now, orderTimeConstant, r.Work, excess)
 	s.recent.add(now, presentTimeConstant, r.Work, excess)
@@ -177,6 +183,48 @@
 	return 0
 }
 
+// AtLeast records the fraction of requests like r to admit and returns it, or a larger one while the organisation, over all
+// priorities, is served less than its least share.
+func (d *Divider) AtLeast(now time.Time, r Request, fraction float64) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[r.Service]
+	if s == nil {
+		return fraction
+	}
+	if e := d.accounts[accountKey{r.Service, r.Organisation}]; e != nil {
+		a := e.Value.(*account)
+		// Past requests of an organisation that sends few count little by now.
+		with := a.served.plus(now, fraction)
+		if least := leastShare * s.served.fraction(); with.fraction() < least {
+			fraction = max(fraction, least)
+		}
+		a.served = a.served.plus(now, fraction)
+	}
+	s.served = s.served.plus(now, fraction)
+	return fraction
+}
+
+// served is the number of recent requests and how many of them were to be admitted; it decays exponentially.
+type served struct {
+	at                 time.Time
+	requests, admitted float64
+}
+
+// plus returns the sums with one more request.
+func (v served) plus(now time.Time, fraction float64) served {
+	keep := keepFactor(now, v.at, servedTimeConstant)
+	return served{now, v.requests*keep + 1, v.admitted*keep + fraction}
+}
+
+// fraction returns the fraction that was to be admitted, 1 without requests.
+func (v served) fraction() float64 {
+	if v.requests == 0 {
+		return 1
+	}
+	return v.admitted / v.requests
+}
+
 // Usual holds the fractions of usual work that are admitted.
 type Usual struct {
 	// Total is that of all usual work for the service, Own that of the request's priority and Next that of the next less
@@ -185,14 +233,11 @@
 }
 
 // ExcessFraction returns the fraction of requests in excess to admit when the service has capacity for the given share of all
-// work. The excess gets what usual work leaves, and more where otherwise the organisation would get less than its least share
-// or the priority less than the next less important one, and a small part of the capacity if no priority is more important. It never gets more than usual work of its priority.
+// work. The excess gets what usual work leaves, more where otherwise the priority would get less than the next less important one,
+// and a small part of the capacity if no priority is more important. It never gets more than usual work of its priority.
 func (p Parts) ExcessFraction(share float64, u Usual) float64 {
 	rest := p.Rest(share, u.Total)
 	atLeast := rest
-	if p.Own > 0 {
-		atLeast = max(atLeast, (leastShare*share-(1-p.Own)*u.Own)/p.Own)
-	}
 	if p.Top > 0 {
 		atLeast = max(atLeast, topShare*share/p.Top)
 	}
@@ -297,13 +342,13 @@
 	}
 }
 
-func (s *service) class(priority int) *composition {
+func (s *service) class(priority, group int) *composition {
 	c := s.classes[priority]
 	if c == nil {
 		if len(s.classes) >= maxPriorities {
 			clear(s.classes)
 		}
-		c = &composition{}
+		c = &composition{group: group}
 		s.classes[priority] = c
 	}
 	return c
@@ -329,11 +374,11 @@
 	return own / total
 }
 
-// nextExcess returns the part in excess of the next less important priority, 1 if there is none.
-func (s *service) nextExcess(priority int) float64 {
+// nextExcess returns the part in excess of the next less important priority of the group, 1 if there is none.
+func (s *service) nextExcess(priority, group int) float64 {
 	next, part := 0, 1.0
 	for p, c := range s.classes {
-		if p > priority && (part == 1 || p < next) {
+		if p > priority && c.group == group && (part == 1 || p < next) {
 			next, part = p, c.excessPart()
 		}
 	}
