--- a/internal/crforward/dump.go
+++ b/internal/crforward/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/pkg/crlimiter"
 	"github.com/citronramp/citronramp/pkg/crquarantine"
 	"github.com/citronramp/citronramp/pkg/crrouter"
@@ -82,6 +83,8 @@
 		"coordinator_unreachable", "server_connections", "documents_unreadable", "server_crashes", "loads_malformed", "speeds_malformed", "limit_changes",
 		"suspects", "suspect_waits", "convictions", "quarantine_refused", reasonUnknownKey, reasonMissingKey, reasonUnconfirmed, "freshness_failed",
 		"shed_excess")
+	n.Counters.Declare(crintake.CounterNames()...)
+	n.Counters.Gauge("intake_bytes", func() any { return n.intake.Used() })
 	n.Counters.Gauge("in_flight", func() any { return n.inFlight.Load() })
 	n.Counters.Gauge("config_age_ms", func() any {
 		if age, ok := n.configAge(); ok {
