crfair: a burst of all organisations is no excess of each

Change: an organisation may grow as much as the others together do, its own work left out, less a discount for random arrivals.

--- a/internal/crforward/fairness_test.go
+++ b/internal/crforward/fairness_test.go
@@ -178,6 +178,28 @@
 	}
 }
 
+// TestBurstOfAllOrganisations guards against an order that is turned round when all organisations send more of their most
+// important requests: these would count as excess and be refused before less important ones.
+func TestBurstOfAllOrganisations(t *testing.T) {
+	t.Parallel()
+	for _, entrances := range []int{1, 50} {
+		served := func(divided bool) float64 {
+			r := newReplay(t, entrances, divided)
+			r.capacity = 1.1 * r.usualWork()
+			r.play(40*time.Second, 0, -1, 1)
+			r.capacity = 0.7 * r.usualWork()
+			r.rates[0] *= 3
+			r.rates[1] *= 1.5
+			r.rates[2] *= 2
+			r.play(2*time.Second, 0, -1, 1)
+			r.play(8*time.Second, 0, -1, 1)
+			return r.fraction(0, every)
+		}
+		plain, divided := served(false), served(true)
+		qt.Assert(t, divided >= plain-tolerance, qt.IsTrue, qt.Commentf("%d entrances: %.3f of %.3f", entrances, divided, plain))
+	}
+}
+
 // TestIdleOrganisation guards against an organisation that was idle for some minutes and is refused as if it exceeded its usual
 // rate.
 func TestIdleOrganisation(t *testing.T) {
--- a/pkg/crfair/crfair.go
+++ b/pkg/crfair/crfair.go
@@ -1,6 +1,7 @@
 // Package crfair divides the capacity of a short service among organisations, so that one that sends several times its usual
 // work takes nothing from the others: work that is usual for its organisation comes first, in the order of the priorities, and
-// the excess of all organisations gets the rest. A Divider knows only the work that passes its own entrance, which may be less
+// the excess of all organisations gets the rest. An organisation that grows no more than the others together exceeds nothing, so
+// that a burst of all leaves the order to the priorities. A Divider knows only the work that passes its own entrance, which may be less
 // than one request a second of an organisation.
 package crfair
 
@@ -51,6 +52,12 @@
 	topShare = 0.02
 	// maxAccounts limits the pairs of organisation and service; the least recently used one is evicted.
 	maxAccounts = 10_000
+	// growthTimeConstant is the time constant of the present work with which growth is measured. growthDiscount is the part of it
+	// that counts: random arrivals at a small entrance look like growth by some tenths at times, from which a hot organisation
+	// would gain. maxGrowth limits the growth.
+	growthTimeConstant = 1500 * time.Millisecond
+	growthDiscount     = 0.85
+	maxGrowth          = 16.0
 	// idleTime is the time without requests after which an organisation counts as unknown.
 	idleTime = 10 * time.Minute
 	// maxServices limits the services and maxPriorities the priorities of each.
@@ -102,6 +109,7 @@
 	// allowance is the work that the organisation may send without exceeding its usual.
 	allowance float64
 	recent    composition
+	present   presentWork
 	served    served
 }
 
@@ -111,6 +119,7 @@
 	usual     float64
 	accounts  int
 	recent    composition
+	present   presentWork
 	served    served
 	classes   map[int]*composition
 }
@@ -134,6 +143,18 @@
 	}
 }
 
+// presentWork is recent work that decays with growthTimeConstant.
+type presentWork struct {
+	updated time.Time
+	work    float64
+}
+
+func (p *presentWork) add(now time.Time, work float64) { p.work, p.updated = p.at(now)+work, now }
+
+func (p *presentWork) at(now time.Time) float64 {
+	return p.work * keepFactor(now, p.updated, growthTimeConstant)
+}
+
 // excessPart returns the part of the work that exceeds the usual.
 func (c *composition) excessPart() float64 {
 	if c.excess == 0 {
@@ -167,6 +188,8 @@
 			s.usual += r.Work / usualTimeConstant.Seconds()
 		}
 		a.recent.add(now, presentTimeConstant, r.Work, excess)
+		a.present.add(now, r.Work)
+		s.present.add(now, r.Work)
 	}
 	class.add(now, orderTimeConstant, r.Work, excess)
 	s.recent.add(now, presentTimeConstant, r.Work, excess)
@@ -319,7 +342,18 @@
 		return 0
 	}
 	room := 1 + headroom*max(0, 1-a.recent.excessPart()/evidentExcess)
-	return room * max(a.usual, s.usual/float64(max(s.accounts, 1))) / reached
+	return room * a.growthOfOthers(s, now, reached) * max(a.usual, s.usual/float64(max(s.accounts, 1))) / reached
+}
+
+// growthOfOthers returns the present work of all other organisations as a multiple of their usual work, at least 1. A hot
+// organisation does not raise its own share by it, since its work is left out.
+func (a *account) growthOfOthers(s *service, now time.Time, reached float64) float64 {
+	usual := (s.usual - a.usual) / reached
+	if usual <= 0 {
+		return 1
+	}
+	present := (s.present.at(now) - a.present.at(now)) / growthTimeConstant.Seconds()
+	return min(max(growthDiscount*present/usual, 1), maxGrowth)
 }
 
 func (a *account) limit(work, rate float64) {
