crquota: tokens of static shares can be spent for 0.5 s

Cause: a token of a static share could be spent for 0.2 s, so that a node with few requests of an organisation rarely found one while it was out of contact.

Change: they last 0.5 s, and a node spends 0.9 of its share instead of 0.95, so that the mean over 5 s is 4.95 x rate. crclock checks that crquota reads no monotonic clock.

--- a/pkg/crclock/promises_test.go
+++ b/pkg/crclock/promises_test.go
@@ -13,7 +13,7 @@
 )
 
 // granting lists the packages that grant leases, confirmations or claims to other processes for a limited time.
-var granting = []string{"internal/crreplica", "internal/crspread", "internal/crkeeper"}
+var granting = []string{"internal/crreplica", "internal/crspread", "internal/crkeeper", "pkg/crquota"}
 
 // TestPromisesCountSuspension guards against a grant that is measured by the monotonic clock of package time: a process
 // whose machine was suspended would use the grant for longer than it was given. Reading the time of day in Unix
--- a/pkg/crquota/wallet.go
+++ b/pkg/crquota/wallet.go
@@ -34,11 +34,11 @@
 	spareRetry = 500 * time.Millisecond
 	// askBelow is the part of the expected need below which the tokens held have to fall before more are asked for.
 	askBelow = 0.6
-	// staticLifetime is how long a token of the static share can be spent. It is short because all nodes may be out of contact.
-	staticLifetime = 200 * time.Millisecond
+	// staticLifetime is how long a token of the static share can be spent: as long as one of the owner.
+	staticLifetime = 500 * time.Millisecond
 	// staticPart is the part of the static share that is spent. The tokens of the nodes come at independent times, and with
 	// the rest the number in a window stays below the limit.
-	staticPart = 0.95
+	staticPart = 0.9
 )
 
 // Verdict says what happens to a request that needs a token.
