--- a/internal/crforward/crforward.go
+++ b/internal/crforward/crforward.go
@@ -4,7 +4,9 @@
 package crforward
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -117,6 +119,7 @@
 	peers        peerClients
 	quotas       quotas
 	bodyBudget   bodyBudget
+	answerBudget bodyBudget
 	intake       crintake.Budget
 	board        crshed.PressureTable
 	shares       crshed.Admitter
@@ -225,6 +228,7 @@
 	n.peers.requestID = n.requestID
 	n.board.RetryRatio = n.Settings.RetryRatio
 	n.bodyBudget.limit = n.Settings.MemoryBytes / bodyMemoryShare
+	n.answerBudget.limit = cmp.Or(n.bodyBudget.limit, math.MaxInt64)
 	n.ledger = &crcost.Estimator{Service: n.Settings.Service}
 	n.gate = newGate(n)
 	n.coordinators.configure(n.Settings.Seeds)
