--- a/pkg/crshed/board.go
+++ b/pkg/crshed/board.go
@@ -25,6 +25,8 @@
 	// begin anew.
 	retryPeriod = 10 * time.Second
 	refusingGap = time.Second
+	// inUsePart is the part of its limit from which the load of a gate counts no more: 1/inUsePart.
+	inUsePart = 4
 	// pressureScale is the fixed-point scale at which pressures are summed.
 	pressureScale = 1e6
 )
@@ -139,9 +141,8 @@
 	}
 }
 
-// Pressure returns the pressure on a service: the mean over the gates that reported directly to this node, weighted by load,
-// or the relayed pressure if that is more recent. The weighting keeps a gate whose server gets no work, because it fails or
-// was ejected, from lowering the mean.
+// Pressure returns the pressure on a service: the mean over the gates that reported directly to this node, weighted by the
+// capacity that is in use, or the relayed pressure if that is more recent.
 func (b *PressureTable) Pressure(now time.Time, service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -205,13 +206,24 @@
 	return direct
 }
 
+// weight returns the weight of a gate in the mean. Gates in use count by their capacity: the router fills fast servers first, so
+// that weights by load would take the pressure of the fullest ones for that of the service. A gate whose server gets almost no
+// work, because it fails or was ejected, counts little.
+func (s timedPressure) weight() int64 {
+	inUse := int64(s.load + 1)
+	if s.server.Limit <= 0 {
+		return inUse
+	}
+	return min(inUse, max(int64(s.server.Limit)/inUsePart, 1))
+}
+
 // direct returns the weighted mean of the recent direct reports, their mean age and their number.
 func (p *servicePressure) direct(now time.Time) (mean timedPressure, age time.Duration, known int) {
 	// Integer sums do not depend on the iteration order of the map, unlike floating-point sums.
 	sum, n, ages := int64(0), int64(0), time.Duration(0)
 	for _, s := range p.gates {
 		if age := now.Sub(s.at); age <= pressureHold {
-			weight := int64(s.load + 1)
+			weight := s.weight()
 			sum += weight * int64(math.Round(s.pressure*pressureScale))
 			n += weight
 			ages += time.Duration(weight) * age
--- a/pkg/crshed/refusals_test.go
+++ b/pkg/crshed/refusals_test.go
@@ -167,3 +167,19 @@
 	partial.UpdateRelayed(later, "deep", 0.6, 0)
 	qt.Assert(t, partial.Pressure(later, "deep"), qt.Equals, 0.6)
 }
+
+// TestPressureOfUnevenServers guards against a service that counts as short because the router fills its fast servers first, and
+// against a server without work that hides the pressure on the others.
+func TestPressureOfUnevenServers(t *testing.T) {
+	report := func(b *crshed.PressureTable, gate string, pressure float64, load int) {
+		b.UpdateFromGate(start, "deep", gate, pressure, load)
+		b.UpdateCapacity("deep", gate, crshed.ServerCapacity{Limit: 80})
+	}
+	var uneven, ejected crshed.PressureTable
+	report(&uneven, "fast", 1.3, 90)
+	report(&uneven, "slow", 0.5, 30)
+	qt.Assert(t, uneven.Pressure(start, "deep"), qt.Equals, 0.9)
+	report(&ejected, "sound", 1.3, 90)
+	report(&ejected, "ejected", 0, 0)
+	qt.Assert(t, ejected.Pressure(start, "deep") > 1.2, qt.IsTrue)
+}
