--- a/internal/crintake/head_test.go
+++ b/internal/crintake/head_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"runtime/debug"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -79,3 +80,17 @@
 		}
 	})
 }
+
+// TestSoftMemoryLimit guards against a garbage collector that lets the process grow beyond its memory limit, and against a
+// limit from the environment that is overridden.
+func TestSoftMemoryLimit(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	t.Setenv("GOMEMLIMIT", "")
+	SetSoftMemoryLimit(1000 << 20)
+	qt.Assert(t, debug.SetMemoryLimit(-1), qt.Equals, int64(800<<20))
+	SetSoftMemoryLimit(0)
+	t.Setenv("GOMEMLIMIT", "1GiB")
+	SetSoftMemoryLimit(2000 << 20)
+	qt.Assert(t, debug.SetMemoryLimit(-1), qt.Equals, int64(800<<20))
+}
