crquota: an owner tells the number of nodes after 1 s only

Cause: the first nodes that asked an owner were told that they are few, and spent static shares of a whole, a half and a third of a rate when all lost contact in the first moments: TestBound found 1,926 requests in 5 s where 1,703 were allowed (3 nodes, rate 300).

Change: nodes are told the number of nodes 1 s after the owner began, and keep that of the owner before until then; without one they have no static share. The first answer of an owner makes the next message urgent, since the owner withholds the share of the node until then. The tests on loopback measure what they offered, since TestQuota failed on a busy machine that sent fewer than 60 of 80 requests.

--- a/internal/crforward/quota_test.go
+++ b/internal/crforward/quota_test.go
@@ -54,27 +54,40 @@
 	return resp
 }
 
-// offer sends requests at all nodes in turn at a rate per second and returns the number of answers by status.
-func (c *cluster) offer(t *testing.T, rate int, d time.Duration, check func(*http.Response)) (ok, refused int64) {
-	var okCount, refusedCount atomic.Int64
+// offered is the outcome of requests that were sent for a time; a busy machine sends fewer than asked for, or takes longer.
+type offered struct {
+	sent, ok, refused float64
+	seconds           float64
+}
+
+// allowed returns the number of requests that may run in that time.
+func (o offered) allowed(rate, burst float64) float64 {
+	return (rate*o.seconds+burst)*(1+quotaBounds.Overage) + quotaBounds.Slack
+}
+
+// offer sends requests at all nodes in turn at a rate per second.
+func (c *cluster) offer(t *testing.T, rate int, d time.Duration, check func(*http.Response)) offered {
+	var ok, refused atomic.Int64
 	var wg sync.WaitGroup
 	tick := time.NewTicker(time.Second / time.Duration(rate))
 	defer tick.Stop()
-	for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
+	start, sent := time.Now(), 0
+	for ; time.Since(start) < d; sent++ {
 		<-tick.C
+		n := c.nodes[sent%len(c.nodes)]
 		wg.Go(func() {
-			resp := c.nodes[i%len(c.nodes)].sendKeyed(t, "k1")
+			resp := n.sendKeyed(t, "k1")
 			switch resp.StatusCode {
 			case http.StatusOK:
-				okCount.Add(1)
+				ok.Add(1)
 			case http.StatusTooManyRequests:
-				refusedCount.Add(1)
+				refused.Add(1)
 			}
 			check(resp)
 		})
 	}
 	wg.Wait()
-	return okCount.Load(), refusedCount.Load()
+	return offered{float64(sent), float64(ok.Load()), float64(refused.Load()), time.Since(start).Seconds()}
 }
 
 // TestQuota guards against nodes that together run more requests of an organisation than its quota allows, against refusals
@@ -83,10 +96,9 @@
 	const rate, burst, seconds = 60.0, 30.0, 3.0
 	c := quotaCluster(t, 3, func(uint64) crroute.Quota { return crroute.Quota{Rate: rate, Burst: burst} })
 	time.Sleep(time.Second)
-	ok, refused := c.offer(t, 40, 2*time.Second, func(*http.Response) {})
-	qt.Assert(t, refused, qt.Equals, int64(0))
-	qt.Assert(t, ok >= 60, qt.IsTrue, qt.Commentf("%d answers", ok))
-	ok, refused = c.offer(t, 200, seconds*time.Second, func(r *http.Response) {
+	o := c.offer(t, 40, 2*time.Second, func(*http.Response) {})
+	qt.Assert(t, o.ok, qt.Equals, o.sent)
+	o = c.offer(t, 200, seconds*time.Second, func(r *http.Response) {
 		if r.StatusCode != http.StatusTooManyRequests {
 			return
 		}
@@ -94,10 +106,10 @@
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, wait >= 0.05, qt.IsTrue, qt.Commentf("%v s", wait))
 	})
-	t.Logf("%d answered, %d refused", ok, refused)
-	qt.Assert(t, float64(ok) <= (rate*seconds+burst)*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%d answers", ok))
-	qt.Assert(t, float64(ok) >= rate*seconds*0.9, qt.IsTrue, qt.Commentf("%d answers", ok))
-	qt.Assert(t, refused > 0, qt.IsTrue)
+	t.Logf("%+v", o)
+	qt.Assert(t, o.ok <= o.allowed(rate, burst), qt.IsTrue, qt.Commentf("%+v", o))
+	qt.Assert(t, o.ok >= 0.9*min(rate*seconds, o.sent), qt.IsTrue, qt.Commentf("%+v", o))
+	qt.Assert(t, o.refused+o.ok, qt.Equals, o.sent)
 	qt.Assert(t, c.nodes[0].sendKeyed(t, "k2").StatusCode, qt.Equals, http.StatusOK)
 }
 
@@ -116,10 +128,10 @@
 		n.backend.setHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 	}
 	before := c.runs()
-	c.offer(t, 150, seconds*time.Second, func(*http.Response) {})
+	o := c.offer(t, 150, seconds*time.Second, func(*http.Response) {})
 	ran := float64(c.runs() - before)
-	qt.Assert(t, ran > rate*seconds/2, qt.IsTrue, qt.Commentf("%v runs", ran))
-	qt.Assert(t, ran <= (rate*seconds+burst)*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%v runs", ran))
+	qt.Assert(t, ran > min(rate*seconds, o.sent)/2, qt.IsTrue, qt.Commentf("%v runs, %+v", ran, o))
+	qt.Assert(t, ran <= o.allowed(rate, burst), qt.IsTrue, qt.Commentf("%v runs, %+v", ran, o))
 }
 
 // TestQuotaWithoutCoordinator guards against nodes that serve nothing, or more than the quota, while no leader grants tokens, and
@@ -130,9 +142,9 @@
 	c.offer(t, 100, time.Second, func(*http.Response) {})
 	c.stopCoord()
 	time.Sleep(1500 * time.Millisecond)
-	ok, _ := c.offer(t, 150, seconds*time.Second, func(*http.Response) {})
-	qt.Assert(t, float64(ok) >= rate*seconds*0.7, qt.IsTrue, qt.Commentf("%d answers", ok))
-	qt.Assert(t, float64(ok) <= rate*seconds*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%d answers", ok))
+	o := c.offer(t, 150, seconds*time.Second, func(*http.Response) {})
+	qt.Assert(t, o.ok >= 0.7*min(rate*seconds, o.sent), qt.IsTrue, qt.Commentf("%+v", o))
+	qt.Assert(t, o.ok <= o.allowed(rate, 0), qt.IsTrue, qt.Commentf("%+v", o))
 	inner, err := net.Listen("tcp", c.seed)
 	qt.Assert(t, err, qt.IsNil)
 	c.startCoord(inner, t.TempDir(), true)
@@ -144,8 +156,8 @@
 	}
 	eventually(t, func() bool {
 		before := static()
-		ok, _ := c.offer(t, 40, 500*time.Millisecond, func(*http.Response) {})
-		return static() == before && ok > 10
+		o := c.offer(t, 40, 500*time.Millisecond, func(*http.Response) {})
+		return static() == before && o.ok > o.sent/2
 	})
 }
 
@@ -157,7 +169,7 @@
 	c.offer(t, 150, time.Second, func(*http.Response) {})
 	c.putRoutes(4, 3, newRoute("/p/", "photos", crroute.Repeatable))
 	time.Sleep(500 * time.Millisecond)
-	ok, _ := c.offer(t, 100, 3*time.Second, func(*http.Response) {})
-	qt.Assert(t, float64(ok) <= (20*3+10)*(1+quotaBounds.Overage)+quotaBounds.Slack, qt.IsTrue, qt.Commentf("%d answers", ok))
-	qt.Assert(t, ok >= 40, qt.IsTrue, qt.Commentf("%d answers", ok))
+	o := c.offer(t, 100, 3*time.Second, func(*http.Response) {})
+	qt.Assert(t, o.ok <= o.allowed(20, 10), qt.IsTrue, qt.Commentf("%+v", o))
+	qt.Assert(t, o.ok >= 0.7*min(20*3, o.sent), qt.IsTrue, qt.Commentf("%+v", o))
 }
--- a/pkg/crquota/crquota_test.go
+++ b/pkg/crquota/crquota_test.go
@@ -268,3 +268,20 @@
 		})
 	}
 }
+
+// TestEarlyCut guards against static shares that are too large since the owner had not heard of all nodes yet when they lost
+// contact.
+func TestEarlyCut(t *testing.T) {
+	l := crquota.Limit{Rate: 300, Burst: 30, Version: 1}
+	for seed := range uint64(20) {
+		w := newWorld(seed, 3, 3, l)
+		hot := func(int) float64 { return 5 * l.Rate / 3 }
+		w.lossRate = 0.3
+		w.advance(time.Duration(20+40*seed)*time.Millisecond, hot)
+		for _, n := range w.nodes {
+			n.cutUntil = w.now.Add(time.Minute)
+		}
+		w.advance(8*time.Second, hot)
+		qt.Assert(t, float64(w.mostInWindow(time.Time{})) <= bound(l), qt.IsTrue, qt.Commentf("%d in 5 s, %v allowed", w.mostInWindow(time.Time{}), bound(l)))
+	}
+}
--- a/pkg/crquota/owner.go
+++ b/pkg/crquota/owner.go
@@ -11,6 +11,9 @@
 const (
 	// scanInterval is the interval at which the owner looks for silent nodes.
 	scanInterval = 100 * time.Millisecond
+	// settleAfter is the time after which the owner tells the number of nodes: all have sent several messages by then. Before,
+	// nodes would take too large shares for theirs.
+	settleAfter = time.Second
 	// maxScans bounds the scans after a pause; after it all nodes are silent.
 	maxScans = 12
 	// askWindow is the time over which demands compete for a balance; each coordinator asks once in it.
@@ -52,7 +55,13 @@
 	nodes          uint32
 }
 
-func (n *ownerNode) share() float64 { return 1 / float64(max(n.nodes, 1)) }
+// share returns the part of each rate that the node may spend out of contact: none before it was told the number of nodes.
+func (n *ownerNode) share() float64 {
+	if n.nodes == 0 {
+		return 0
+	}
+	return 1 / float64(n.nodes)
+}
 
 // balance is the token bucket of an organisation.
 type balance struct {
@@ -94,9 +103,9 @@
 	if o.scannedAt.IsZero() || len(o.nodes) != known || o.inherited != inherited {
 		o.scan(now)
 	}
-	r := Reply{Term: o.term, Stamp: now.Sub(o.start), Nodes: o.nodeCount(), Grants: make([]Grant, 0, len(req.Demands))}
+	r := Reply{Term: o.term, Stamp: now.Sub(o.start), Nodes: o.nodeCount(now), Grants: make([]Grant, 0, len(req.Demands))}
 	for _, c := range req.Contacts {
-		if n := o.nodes[c.Node]; n != nil && (n.nodes == 0 || r.Nodes < n.nodes) {
+		if n := o.nodes[c.Node]; n != nil && r.Nodes > 0 && (n.nodes == 0 || r.Nodes < n.nodes) {
 			n.nodes = r.Nodes
 		}
 	}
@@ -113,7 +122,13 @@
 	return r
 }
 
-func (o *Owner) nodeCount() uint32 { return max(uint32(len(o.nodes)), o.inherited, 1) }
+// nodeCount returns the number of nodes to tell, 0 before it is known.
+func (o *Owner) nodeCount(now time.Time) uint32 {
+	if now.Sub(o.start) < settleAfter {
+		return 0
+	}
+	return max(uint32(len(o.nodes)), o.inherited, 1)
+}
 
 // observe records the contact of a node. Only an answer of this owner that has reached the node shows that the node does not
 // spend its static share; a node that was told no number of nodes has none.
--- a/pkg/crquota/wallet.go
+++ b/pkg/crquota/wallet.go
@@ -78,8 +78,11 @@
 	contact     Contact
 	contactSent time.Time
 	answeredAt  time.Time
-	sentAt      time.Time
-	pending     int
+	// newOwner is set by the first answer of an owner. The next message is urgent then: the owner withholds the share of the
+	// node until it shows that the answer arrived.
+	newOwner bool
+	sentAt   time.Time
+	pending  int
 }
 
 // lot is a number of tokens of one grant. The term and the stamp are those of the reply; the term is 0 if it is not known.
@@ -186,7 +189,7 @@
 
 // static reports whether the node spends its static share: it was told one, and had no answer since.
 func (w *Wallet) static(now time.Time) bool {
-	return !w.answeredAt.IsZero() && now.Sub(w.answeredAt) >= staticAfter
+	return w.contact.Nodes > 0 && now.Sub(w.answeredAt) >= staticAfter
 }
 
 // Static reports whether the node is out of contact and spends its static share.
@@ -199,8 +202,11 @@
 	if w.pending >= maxPending || since < MinWait {
 		return Request{}, false
 	}
-	r := Request{Contacts: []Contact{w.contact}}
+	r := Request{Contacts: []Contact{w.contact}, Urgent: w.newOwner}
 	interval := keepAlive
+	if w.newOwner {
+		interval = MinWait
+	}
 	for org, a := range w.active {
 		need, spare, within := a.need(now)
 		if need+spare > 0 {
@@ -222,7 +228,7 @@
 			a.pendingSpare += d.Spare
 		}
 	}
-	w.sentAt = now
+	w.sentAt, w.newOwner = now, false
 	w.pending++
 	return r, true
 }
@@ -269,8 +275,12 @@
 func (w *Wallet) Answer(now, sent time.Time, req Request, r Reply) {
 	w.settle(req)
 	if !sent.Before(w.contactSent) {
+		w.newOwner = w.newOwner || r.Term != w.contact.Term
 		// The term may be lower than before: coordinators that lost their disks start from the first one.
-		w.contact.Term, w.contact.Stamp, w.contact.Nodes, w.contactSent = r.Term, r.Stamp, r.Nodes, sent
+		w.contact.Term, w.contact.Stamp, w.contactSent = r.Term, r.Stamp, sent
+		if r.Nodes > 0 {
+			w.contact.Nodes = r.Nodes
+		}
 	}
 	w.answeredAt = now
 	asked := make(map[string]uint32, len(req.Demands))
