--- a/internal/crexchange/body.go
+++ b/internal/crexchange/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -48,6 +49,14 @@
 	untilClose *upload
 }
 
+func newTrackedBody(r *http.Response, sent *upload) *trackedBody {
+	b := &trackedBody{r: r.Body}
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody {
+		b.untilClose = sent
+	}
+	return b
+}
+
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
 	if err == io.EOF {
--- a/internal/crexchange/crexchange.go
+++ b/internal/crexchange/crexchange.go
@@ -276,15 +276,10 @@
 	request := &http.Request{Method: r.Method}
 	reusable := c.identifiable(r)
 	for foreign, interim := 0, 0; ; {
-		cn.headLimit.remaining = maxHeaderBytes
-		hr, err := http.ReadResponse(cn.reader, request)
+		hr, err := cn.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		cn.headLimit.remaining = math.MaxInt
-		if hr.StatusCode < minStatus || hr.StatusCode > maxStatus {
-			return nil, errStatus
-		}
 		if hr.StatusCode >= 100 && hr.StatusCode < 200 {
 			if interim++; interim > maxInterim {
 				return nil, errInterim
@@ -301,11 +296,8 @@
 			}
 			continue
 		}
-		body := &trackedBody{r: hr.Body}
-		if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 && hr.Body != http.NoBody {
-			body.untilClose = sent
-		}
 		keep, ok := keepFor(hr, c.idleTime())
+		body := newTrackedBody(hr, sent)
 		return &Response{
 			Status: hr.StatusCode, Header: hr.Header, Length: hr.ContentLength, Body: body, body: body, conn: cn, client: c,
 			sent: sent, reusable: reusable && ok, keep: keep,
@@ -313,6 +305,20 @@
 	}
 }
 
+// readHead reads the head of a response.
+func (cn *conn) readHead(request *http.Request) (*http.Response, error) {
+	cn.headLimit.remaining = maxHeaderBytes
+	hr, err := http.ReadResponse(cn.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	cn.headLimit.remaining = math.MaxInt
+	if hr.StatusCode < minStatus || hr.StatusCode > maxStatus {
+		return nil, errStatus
+	}
+	return hr, nil
+}
+
 // skipBody reads the body of a foreign response to its end. A body that is too long or ends only with the connection is
 // an error.
 func skipBody(hr *http.Response) error {
--- a/internal/crforward/run.go
+++ b/internal/crforward/run.go
@@ -40,22 +40,11 @@
 		r.took = time.Since(started)
 		g.release(gr, crlimiter.Sample{Kind: c.route, Latency: r.took, Queued: waited, Result: result})
 	}
-	notRun := resp.Header.Get(g.node.Settings.Headers.NotRun) != ""
-	if resp.Status != http.StatusMisdirectedRequest {
-		g.recordAnswer(time.Now(), gr, resp.Header, notRun)
-	}
-	if notRun || resp.Status == http.StatusMisdirectedRequest {
-		if resp.Status == http.StatusMisdirectedRequest {
-			g.markDown(gr, started.Add(g.node.Settings.Heartbeat))
-		}
+	if g.recordRefusal(gr, resp, started) {
 		gr.tracked.cancelled()
-		if resp.Status != http.StatusMisdirectedRequest {
-			g.recordRun(gr, true)
-		}
 		finish(crlimiter.Refused)
 		return &reply{code: crcode.ServerRefused, took: r.took}
 	}
-	g.recordRun(gr, false)
 	if resp.Header.Get("Content-Encoding") != "" {
 		gr.tracked.finished(time.Now())
 		finish(crlimiter.Failure)
@@ -96,6 +85,18 @@
 	return r.onRelease(release)
 }
 
+// recordRefusal records whether the server ran the request that it answered, and reports whether it refused it.
+func (g *gate) recordRefusal(gr grant, resp *crexchange.Response, started time.Time) bool {
+	if resp.Status == http.StatusMisdirectedRequest {
+		g.markDown(gr, started.Add(g.node.Settings.Heartbeat))
+		return true
+	}
+	refused := resp.Header.Get(g.node.Settings.Headers.NotRun) != ""
+	g.recordAnswer(time.Now(), gr, resp.Header, refused)
+	g.recordRun(gr, refused)
+	return refused
+}
+
 // lostAnswerCode returns the code of a run without a complete answer: ServerDied if the server has crashed, otherwise
 // the given code.
 func (g *gate) lostAnswerCode(gr grant, code crcode.Code) crcode.Code {
