crrouter: an unloaded server of the own domain is left only for one that is much better

Change: while the own server is not loaded, another domain's is considered only if the own one refuses requests that the other accepts, or is three times slower.

--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -249,10 +249,10 @@
 }
 
 // choose prefers the own failure domain. A server of another one is considered if the server selected in the own domain is
-// loaded or a server there is clearly better, and selected if it completes the call earlier although it is further away.
+// loaded or crossing is worth it, and selected if it completes the call earlier although it is further away.
 func (r *Router) choose(now time.Time, local, remote []*server) *server {
 	a := r.pickOne(now, local)
-	if a != nil && (len(remote) == 0 || a.load(now) < loadedScore && r.clearlyBetter(now, a, remote) == nil) {
+	if a != nil && (len(remote) == 0 || a.load(now) < loadedScore && !r.worthCrossing(now, a, remote)) {
 		return a
 	}
 	b := r.pickOne(now, remote)
@@ -262,6 +262,20 @@
 	return a
 }
 
+// worthCrossing reports whether a server of another failure domain is so much better than a that an unloaded a is not enough:
+// because a refuses requests that the other accepts, or is several times slower. A smaller gain in speed is worth less to callers
+// than the traffic between failure domains costs.
+func (r *Router) worthCrossing(now time.Time, a *server, remote []*server) bool {
+	if !now.Before(r.unevenUntil) {
+		return false
+	}
+	_, accepts := a.figures(now)
+	return slices.ContainsFunc(remote, func(s *server) bool {
+		_, other := s.figures(now)
+		return now.Sub(s.feedbackAt) < clearAge && (other > clearFactor*accepts || s.factor(now) > crossingFactor*a.factor(now))
+	})
+}
+
 // pickOne selects one of several servers: the better of two drawn ones, unless another is clearly better than both and
 // completes the call earlier.
 func (r *Router) pickOne(now time.Time, from []*server) *server {
--- a/pkg/crrouter/server.go
+++ b/pkg/crrouter/server.go
@@ -32,6 +32,9 @@
 	// clearFactor is the ratio of factors from which a server is clearly better; servers of equal speed that are measured
 	// separately differ by less.
 	clearFactor = 1.25
+	// crossingFactor is the ratio of factors from which a server of another failure domain is considered for an unloaded one: a
+	// neighbour that slows a machine 2.5 times for half a second is not worth it.
+	crossingFactor = 3.0
 	// clearAge is the age of a report up to which a server may be selected without having been drawn. Without this bound 600
 	// callers, which hear rarely of each server, overloaded the fastest ones (replay at load 0.9: mean 192 ms, 103 ms with it).
 	clearAge = feedbackExpiry / 2
