crforward: several refusals in a row do not hide that an attempt may have run

Cause: with up to six sends, the reply of the last attempt was compared with that of the one before it only: a lost answer followed by two refusals was reported as 503, which promises that the request has not run. Change: the reply to report is kept over all attempts. Measured: TestReplyToReport; the tests of placing pass.

--- a/internal/crforward/place.go
+++ b/internal/crforward/place.go
@@ -63,19 +63,18 @@
 			}
 			return r, attempts
 		}
-		last := r
+		var next *reply
 		if attempts == 1 {
-			r = p.sendFirst(ctx, server)
+			next = p.sendFirst(ctx, server)
 		} else {
-			r = p.send(ctx, c, server)
+			next = p.send(ctx, c, server)
 		}
-		if r.code == crcode.OK && (r.status < 500 || c.nonRepeatable) {
+		// The reply to report is that of the last attempt, unless it would hide that an earlier one may have run.
+		r = replyToReport(r, next)
+		if next.code == crcode.OK && (next.status < 500 || c.nonRepeatable) || !p.mayRetry(ctx, next, attempts) {
 			return r, attempts
 		}
-		if !p.mayRetry(ctx, r, attempts) {
-			return replyToReport(last, r), attempts
-		}
-		r.release()
+		next.release()
 		if !c.rewind() {
 			return r, attempts
 		}
