--- a/internal/crintake/crowd_test.go
+++ b/internal/crintake/crowd_test.go
@@ -86,9 +86,9 @@
 
 func controlTarget(t *testing.T, fds int) target {
 	to, _ := nodeTarget(t, fds, func(s platform.Settings) string { return s.Listen.Control })
-	return callTarget(to, "/rpc?call=instances.heartbeat&of=x", func() bool {
+	return callTarget(to, platform.HeartbeatTarget("x"), func() bool {
 		// A report without fields is answered with what it lacks.
-		status, _ := post(to.address, "/rpc?call=instances.heartbeat&of=x", []byte("{}"))
+		status, _ := post(to.address, platform.HeartbeatTarget("x"), []byte("{}"))
 		return status == http.StatusBadRequest
 	})
 }
