--- a/pkg/crfair/crfair.go
+++ b/pkg/crfair/crfair.go
@@ -12,8 +12,7 @@
 	"time"
 )
 
-// Parameters of Divider. They were chosen with the replay of crforward, in which entrances see 33 requests a second of 70
-// organisations.
+// Parameters of Divider. A small entrance sees some dozen requests a second of some dozen organisations.
 const (
 	// usualTimeConstant is the time constant of an organisation's usual rate. While a service is short, work above the usual
 	// is not learned, so that a burst does not become the usual within its duration.
--- a/pkg/crrouter/crrouter.go
+++ b/pkg/crrouter/crrouter.go
@@ -29,8 +29,8 @@
 }
 
 // Request is the input of Pick. Servers in Tried are excluded, and if Among is not empty, all but those in it. NoProbe keeps
-// the request from ejected servers that are due for a probe. If AffinityKey is not empty, all nodes that know the same servers send requests with this key to the same
-// server, if possible a warm one.
+// the request from ejected servers that are due for a probe. If AffinityKey is not empty, all nodes that know the same servers
+// send requests with this key to the same server, if possible a warm one.
 type Request struct {
 	Priority    cradmission.Priority
 	Tried       []string
@@ -332,8 +332,8 @@
 	return best
 }
 
-// pickOfTwo draws two servers and returns the one with the earlier completion. If that one is cold, the warmer one is returned instead
-// with a probability of one minus its warmth.
+// pickOfTwo draws two servers and returns the one with the earlier completion. If that one is cold, the warmer one is returned
+// instead with a probability of one minus its warmth.
 func (r *Router) pickOfTwo(now time.Time, from []*server) *server {
 	switch len(from) {
 	case 0:
