crwire: a listener goes on after a failed accept

Callers saw: after a crowd had left, no node could join a coordinator, and the listener of the product's processes for each other answered nobody; their other listeners still did. Cause: Endpoint.Serve returned on the first error of Accept. "Too many open files" passes, and any client can cause it. Change: Serve tries again after 5 to 200 ms unless the listener is closed or its socket is unusable. The failure is counted (inner_accept_failed) and logged once in 5 s at most. The tests start processes with the descriptors of their settings as the limit of the operating system, too.

--- a/internal/crcontrol/crcontrol.go
+++ b/internal/crcontrol/crcontrol.go
@@ -83,6 +83,10 @@
 		},
 		Mux:       &crwire.Mux{},
 		OnRefused: func(net.Addr, error) { c.Counters.Add("inner_refused", 1) },
+		OnAcceptError: func(err error) {
+			c.Counters.Add("inner_accept_failed", 1)
+			_ = level.Error(c.Logger).Log("msg", "cannot accept connections of other processes for a while", "err", err)
+		},
 	}
 	c.stateMachine = newStateMachine(func() bool { return c.confirm.Valid(crclock.Now()) })
 	if err := c.openReplica(ctx); err != nil {
--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -108,6 +108,10 @@
 		}},
 		Mux:       &crwire.Mux{},
 		OnRefused: func(net.Addr, error) { c.Counters.Add("inner_refused", 1) },
+		OnAcceptError: func(err error) {
+			c.Counters.Add("inner_accept_failed", 1)
+			c.Log.Emit(time.Now(), crevent.State, crevent.DependencyLost, crevent.KeyDetail, "inner", crevent.KeyError, err)
+		},
 	}
 	c.machine = crdocument.New()
 	c.confirmedState.Store(&confirmedState{changed: make(chan struct{})})
--- a/internal/crcoord/dump.go
+++ b/internal/crcoord/dump.go
@@ -27,7 +27,7 @@
 }
 
 func (c *Coordinator) gauges() {
-	c.Counters.Declare("hello_failed", "inner_refused", "quota_messages", "quota_unanswered")
+	c.Counters.Declare("hello_failed", "inner_accept_failed", "inner_refused", "quota_messages", "quota_unanswered")
 	c.Counters.Gauge("log_term", func() any { return c.replica.Status().Term })
 	c.Counters.Gauge("log_applied", func() any { return c.replica.Status().StateApplied })
 	c.Counters.Gauge("leads", func() any { return c.replica.Status().Leads })
--- a/internal/crintake/crowd_test.go
+++ b/internal/crintake/crowd_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/citronramp/citronramp/internal/crtest"
 	"github.com/citronramp/citronramp/platform"
 )
 
@@ -37,6 +38,8 @@
 type target struct {
 	*process
 	address string
+	// others are further listeners of the process; each gets a crowd of the same size at the same time.
+	others []string
 	// quick is a head of a request that is answered at once, upload one without a length, and hold one that makes the
 	// process wait.
 	quick, upload, hold func() string
@@ -103,9 +106,10 @@
 }
 
 func productTarget(t *testing.T, fds int) target {
-	p, address := startProduct(t, productMemoryMB, fds)
-	to := target{process: p, address: address, headBytes: 8 << 10}
-	return callTarget(to, "/v1/announce", func() bool { return get(address, "/v1/id", "") == http.StatusOK })
+	// There is no control instance at the address.
+	p := startProductNode(t, net.JoinHostPort(crtest.Host(), "8303"), productMemoryMB, fds)
+	to := target{process: p.process, address: p.clients, headBytes: 8 << 10}
+	return callTarget(to, "/v1/announce", func() bool { return get(p.clients, "/v1/id", "") == http.StatusOK })
 }
 
 // callTarget completes a target whose requests wait for their bodies.
@@ -161,13 +165,16 @@
 
 func quickHead(to target) string { return to.quick() }
 
-// crowds are the kinds of clients, each with the number of its connections.
-var crowds = []struct {
+// crowd is a kind of clients with the number of its connections.
+type crowd struct {
 	name  string
 	size  int
 	fds   int
 	sends sender
-}{
+}
+
+// crowds are the kinds of clients of listeners for HTTP.
+var crowds = []crowd{
 	{"unfinished heads of short lines", crowdSize, crowdFDs, once(func(to target) string { return to.quick() + shortLines(8000) })},
 	{"one name 10,000 times", crowdSize, crowdFDs, once(func(to target) string { return to.quick() + strings.Repeat("a:\r\n", 10000) })},
 	{"names of odd bytes", crowdSize, crowdFDs, once(func(to target) string { return to.quick() + oddLines(4500, "!#$", "^`|~") })},
@@ -195,20 +202,13 @@
 func gather(to target, size int, sends sender) int {
 	var sent, clients sync.WaitGroup
 	all := make(chan struct{})
-	sent.Add(size)
-	for range size {
-		clients.Go(func() {
-			c, err := net.Dial("tcp", to.address)
-			if err != nil {
-				sent.Done()
-				return
-			}
-			defer func() { _ = c.Close() }()
-			_ = c.SetWriteDeadline(time.Now().Add(crowdTime))
-			sends(c, to)
-			sent.Done()
-			<-all
-		})
+	for _, address := range append([]string{to.address}, to.others...) {
+		at := to
+		at.address = address
+		sent.Add(size)
+		for range size {
+			clients.Go(func() { join(at, sends, sent.Done, all) })
+		}
 	}
 	go func() {
 		defer close(all)
@@ -232,6 +232,38 @@
 	}
 }
 
+// join is one client of a crowd: it sends, calls sent, and keeps its connection until all is closed.
+func join(to target, sends sender, sent func(), all <-chan struct{}) {
+	c, err := net.Dial("tcp", to.address)
+	if err != nil {
+		sent()
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetWriteDeadline(time.Now().Add(crowdTime))
+	sends(c, to)
+	sent()
+	<-all
+}
+
+// endure lets a crowd meet the target and checks that the process lives within its limits and answers an ordinary request
+// afterwards.
+func endure(t *testing.T, to target, crowd crowd, memoryMB int64) {
+	calm := to.peakMemory(t)
+	descriptors := gather(to, crowd.size, crowd.sends)
+	qt.Assert(t, to.alive(), qt.IsTrue, qt.Commentf("%s", to.logEnd()))
+	answered := false
+	for end := time.Now().Add(answerLimit); !answered && to.alive() && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		answered = to.answered()
+	}
+	peak := to.peakMemory(t)
+	t.Logf("memory %d MB, %d MB before; %d descriptors", peak>>20, calm>>20, descriptors)
+	qt.Check(t, answered, qt.IsTrue, qt.Commentf("%s", to.logEnd()))
+	qt.Check(t, to.alive(), qt.IsTrue)
+	qt.Check(t, peak <= memoryMB<<20, qt.IsTrue, qt.Commentf("%d MB of %d", peak>>20, memoryMB))
+	qt.Check(t, descriptors <= crowd.fds, qt.IsTrue, qt.Commentf("%d of %d", descriptors, crowd.fds))
+}
+
 // TestCrowds guards against clients that make a process exceed the memory or the descriptors of its settings, end it or keep
 // it from answering an ordinary request afterwards. It checks no times.
 func TestCrowds(t *testing.T) {
@@ -250,20 +282,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			for _, crowd := range crowds {
 				t.Run(crowd.name, func(t *testing.T) {
-					to := x.deploy(t, crowd.fds)
-					calm := to.peakMemory(t)
-					descriptors := gather(to, crowd.size, crowd.sends)
-					qt.Assert(t, to.alive(), qt.IsTrue, qt.Commentf("%s", to.logEnd()))
-					answered := false
-					for end := time.Now().Add(answerLimit); !answered && to.alive() && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-						answered = to.answered()
-					}
-					peak := to.peakMemory(t)
-					t.Logf("memory %d MB, %d MB before; %d descriptors", peak>>20, calm>>20, descriptors)
-					qt.Check(t, answered, qt.IsTrue)
-					qt.Check(t, to.alive(), qt.IsTrue)
-					qt.Check(t, peak <= x.memoryMB<<20, qt.IsTrue, qt.Commentf("%d MB of %d", peak>>20, x.memoryMB))
-					qt.Check(t, descriptors <= crowd.fds, qt.IsTrue, qt.Commentf("%d of %d", descriptors, crowd.fds))
+					endure(t, x.deploy(t, crowd.fds), crowd, x.memoryMB)
 				})
 			}
 		})
--- a/internal/crintake/deploy_test.go
+++ b/internal/crintake/deploy_test.go
@@ -83,8 +83,11 @@
 	done chan struct{}
 }
 
-// start starts the program with the given settings file and arguments, and ends it with the test.
-func start(t *testing.T, name, settings string, args ...string) *process {
+// limitDescriptors is a shell command that runs its arguments with a limit of open descriptors, which is its name.
+const limitDescriptors = `ulimit -n "$0" && exec "$@"`
+
+// start starts the program with the given settings file, limit of descriptors and arguments, and ends it with the test.
+func start(t *testing.T, name, settings string, fds int, args ...string) *process {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), name+".toml")
 	qt.Assert(t, os.WriteFile(file, []byte(settings), 0o600), qt.IsNil)
@@ -93,7 +96,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	path, err := program()
 	qt.Assert(t, err, qt.IsNil)
-	cmd := exec.Command(path, append(args, "--settings", file)...)
+	cmd := exec.Command("sh", append([]string{"-c", limitDescriptors, strconv.Itoa(fds), path}, append(args, "--settings", file)...)...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
 	qt.Assert(t, cmd.Start(), qt.IsNil)
@@ -178,7 +181,7 @@
 func (m *machine) run(t *testing.T, role string) {
 	text, err := m.settings.Encode()
 	qt.Assert(t, err, qt.IsNil)
-	m.process = start(t, m.settings.NodeName, string(text), "platform", role)
+	m.process = start(t, m.settings.NodeName, string(text), m.settings.Limits.MaxFDs, "platform", role)
 }
 
 // startCore starts a coordinator and waits until it has accepted the configuration.
@@ -318,14 +321,31 @@
 	return resp.StatusCode
 }
 
-// startProduct starts the product's own node.
-func startProduct(t *testing.T, memoryMB, fds int) (p *process, listen string) {
+// productSecret is the secret that the processes of the product share.
+const productSecret = "crowd-secret-0123456789"
+
+// product is a process of the product's own programs with the addresses of its listeners.
+type product struct {
+	*process
+	// clients is the address for callers or operators.
+	clients, inner, admin string
+}
+
+// startProduct starts a node or a control instance of the product; keys are further lines of its settings.
+func startProduct(t *testing.T, role, clientsKey, name string, memoryMB, fds int, keys string, args ...string) product {
 	host := crtest.Host()
 	at := func(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
-	text := fmt.Sprintf("[node]\nname = \"ledger-1\"\ndomain = \"a\"\nregion = \"nyanda\"\nservice = \"ledger\"\nlisten = %q\ninner = %q\nadmin = %q\ncontrol = [%q]\nsecret = \"crowd-secret-0123456789\"\nmemory_mb = %d\nmax_fds = %d\n",
-		at(8300), at(8301), at(8302), at(8303), memoryMB, fds)
-	p = start(t, "ledger-1", text, "node")
-	m := &machine{process: p}
-	m.await(t, "the product's node answers", func() bool { return get(at(8300), "/v1/id", "") == http.StatusOK })
-	return p, at(8300)
+	p := product{clients: at(8300), inner: at(8301), admin: at(8302)}
+	text := fmt.Sprintf("[%s]\nname = %q\ndomain = \"a\"\nregion = \"nyanda\"\n%s = %q\ninner = %q\nadmin = %q\nsecret = %q\nmemory_mb = %d\nmax_fds = %d\n%s",
+		role, name, clientsKey, p.clients, p.inner, p.admin, productSecret, memoryMB, fds, keys)
+	p.process = start(t, name, text, fds, append([]string{role}, args...)...)
+	return p
+}
+
+// startProductNode starts the product's own node; without a control instance at the given address it has no configuration.
+func startProductNode(t *testing.T, control string, memoryMB, fds int) product {
+	p := startProduct(t, "node", "listen", "ledger-1", memoryMB, fds, fmt.Sprintf("service = \"ledger\"\ncontrol = [%q]\n", control))
+	m := &machine{process: p.process}
+	m.await(t, "the product's node answers", func() bool { return get(p.clients, "/v1/id", "") == http.StatusOK })
+	return p
 }
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -44,6 +44,10 @@
 		},
 		Mux:       &crwire.Mux{},
 		OnRefused: func(net.Addr, error) { n.Counters.Add("inner_refused", 1) },
+		OnAcceptError: func(err error) {
+			n.Counters.Add("inner_accept_failed", 1)
+			_ = level.Error(n.Logger).Log("msg", "cannot accept connections of other processes for a while", "err", err)
+		},
 	}
 	p.makeKeeper()
 	p.makeSpread()
--- a/internal/crwire/endpoint.go
+++ b/internal/crwire/endpoint.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crdial"
@@ -23,6 +25,8 @@
 	OnSession func(*Session)
 	// OnRefused, if set, is called for each incoming connection whose handshake failed.
 	OnRefused func(net.Addr, error)
+	// OnAcceptError, if set, is called when the listener cannot accept connections for a while, at most once in 5 s.
+	OnAcceptError func(error)
 
 	mu     sync.Mutex
 	dialed map[string]*dialAttempt
@@ -38,13 +42,33 @@
 	err     error
 }
 
+// Pauses after a failed accept. The longest one is shorter than a planned stop takes.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 200 * time.Millisecond
+	// acceptReportInterval bounds the reports of failed accepts.
+	acceptReportInterval = 5 * time.Second
+)
+
 // Serve accepts sessions until the listener is closed. Close waits for the accepted connections.
 func (e *Endpoint) Serve(ln net.Listener) error {
+	var pause time.Duration
+	var reported time.Time
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		if err != nil && !isTransient(err) {
 			return err
 		}
+		if err != nil {
+			if now := time.Now(); e.OnAcceptError != nil && now.Sub(reported) >= acceptReportInterval {
+				reported = now
+				e.OnAcceptError(err)
+			}
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			time.Sleep(pause)
+			continue
+		}
+		pause = 0
 		e.wg.Add(1)
 		go func() {
 			defer e.wg.Done()
@@ -53,6 +77,20 @@
 	}
 }
 
+// isTransient reports whether a listener that returned the error may accept connections later, such as after the process ran
+// out of descriptors.
+func isTransient(err error) bool {
+	var errno syscall.Errno
+	if errors.Is(err, net.ErrClosed) || !errors.As(err, &errno) {
+		return false
+	}
+	switch errno {
+	case syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP:
+		return false
+	}
+	return true
+}
+
 func (e *Endpoint) accept(conn net.Conn) {
 	peer, err := e.Identity.acceptHandshake(conn)
 	if err != nil {
