crwire, crintake: connections of other processes leave descriptors for the rest

Callers saw: while clients held connections to a coordinator's port for other processes, operators, metrics clients and new nodes were not answered, since the process had no descriptor left for them. Cause: no connection at that listener counted against a share of the descriptors, before or after the handshake; in the product's node, callers alone could take all but 64. Change: an endpoint accepts at most MaxAccepted connections. For a further one it closes the one that has waited longest: first those without a handshake, then sessions without a call; never a session in use. crintake computes the number from the descriptors that clients and files leave. Callers of the product's node get half of them, and max_fds is 8192 by default, so that max_requests (2000) still fit. A limit of the operating system below the settings counts. Close ends handshakes instead of waiting up to 2 s for them.

--- a/internal/crcoord/crcoord.go
+++ b/internal/crcoord/crcoord.go
@@ -142,6 +142,7 @@
 	c.directory.Register(c.endpoint.Mux)
 	c.register()
 	c.gauges()
+	c.limitClients()
 	c.loadHints()
 	c.notices = c.noticesFile()
 	c.loadNotices()
--- a/internal/crcoord/intake.go
+++ b/internal/crcoord/intake.go
@@ -7,21 +7,26 @@
 	"github.com/citronramp/citronramp/internal/crintake"
 )
 
-// Shares of the connections that the process accepts from operators. The sessions of nodes and coordinators, at a listener
-// of their own, have the rest: at full size 1,430 nodes of 4,100 descriptors.
+// Shares of the connections that the process accepts from operators. The sessions of nodes and coordinators have the
+// descriptors that these leave.
 const (
 	apiShare   = 0.25
 	adminShare = 0.05
 )
 
-// clientListeners returns the listeners for operators and metrics within the budget of clients; admin may be nil.
-func (c *Coordinator) clientListeners() (api, admin *crintake.Listener) {
+// limitClients sets the limits of what the process holds for operators and other processes.
+func (c *Coordinator) limitClients() {
 	c.intake.MemoryBytes, c.intake.Descriptors, c.intake.Counters = c.Settings.MemoryBytes, c.Settings.MaxDescriptors, &c.Counters
 	c.intake.Log = func(now time.Time, listener string, bound crintake.Bound) {
 		c.Log.Emit(now, crevent.State, crevent.ClientBounded, crevent.KeyReason, bound, crevent.KeyDetail, listener)
 	}
 	c.Counters.Declare(crintake.CounterNames()...)
 	c.Counters.Gauge("intake_bytes", func() any { return c.intake.Used() })
+	c.intake.LimitPeers(c.endpoint, apiShare+adminShare)
+}
+
+// clientListeners returns the listeners for operators and metrics within the budget of clients; admin may be nil.
+func (c *Coordinator) clientListeners() (api, admin *crintake.Listener) {
 	if c.Admin != nil {
 		admin = c.intake.Listen(c.Admin, "admin", adminShare, nil)
 	}
--- a/internal/crintake/crintake.go
+++ b/internal/crintake/crintake.go
@@ -25,6 +25,10 @@
 	// took 10 KB. A sixth of the memory may be taken by connections.
 	ConnectionBytes       = 16 << 10
 	connectionMemoryShare = 6
+	// sessionMemoryPart is the part of the memory limit that other processes of the system may make the process hold. A
+	// session takes SessionBytes beside messages and streams.
+	sessionMemoryPart = 0.4
+	SessionBytes      = 24 << 10
 	// reservedDescriptors are for files, listeners and the processes of the system.
 	reservedDescriptors = 64
 	// descriptorsEach is the number of descriptors that an accepted connection takes: its own and one to a server.
@@ -121,11 +125,26 @@
 
 // MaxConnections returns the number of connections that all listeners together accept.
 func (b *Budget) MaxConnections() int {
-	descriptors := b.Descriptors
-	if descriptors <= 0 {
-		descriptors = systemDescriptors()
+	return max(min((b.descriptors()-reservedDescriptors)/descriptorsEach, int(b.memory()/connectionMemoryShare/ConnectionBytes)), 1)
+}
+
+// MaxSessions returns the number of connections from other processes of the system that leave room for the given share of
+// the clients' connections.
+func (b *Budget) MaxSessions(clients Share) int {
+	left := b.descriptors() - reservedDescriptors - descriptorsEach*clients.of(b.MaxConnections())
+	return max(min(left, int(b.SessionMemory()/SessionBytes)), 1)
+}
+
+// SessionMemory returns what other processes of the system may make the process hold, in bytes.
+func (b *Budget) SessionMemory() int64 { return int64(float64(b.memory()) * sessionMemoryPart) }
+
+// descriptors returns the number of descriptors that the process may open.
+func (b *Budget) descriptors() int {
+	system := systemDescriptors()
+	if b.Descriptors <= 0 {
+		return system
 	}
-	return max(min((descriptors-reservedDescriptors)/descriptorsEach, int(b.memory()/connectionMemoryShare/ConnectionBytes)), 1)
+	return min(b.Descriptors, system)
 }
 
 // systemDescriptors returns the number of descriptors that the operating system lets the process open.
--- a/internal/crintake/deploy_test.go
+++ b/internal/crintake/deploy_test.go
@@ -41,6 +41,9 @@
 	// quickPath is answered at once by the simulated server, holdPath only when its caller gives up.
 	quickPath = "/quick/"
 	holdPath  = "/hold/"
+	// countersPath is where the listeners for metrics answer, commandPath those for operators of the product.
+	countersPath = "/debug/vars"
+	commandPath  = "/v1/command"
 	// startLimit and answerLimit bound the waiting of a test that has failed; they are no requirements.
 	startLimit  = 60 * time.Second
 	answerLimit = 60 * time.Second
@@ -160,6 +163,9 @@
 	settings platform.Settings
 }
 
+// metricsAddress returns the address at which the process serves its counters.
+func (m *machine) metricsAddress() string { return m.address(strconv.Itoa(firstOwnPort + 1)) }
+
 func (m *machine) address(port string) string { return net.JoinHostPort(m.settings.IP, port) }
 
 // newMachine returns a machine whose seed is the given address; empty means itself.
--- a/internal/crintake/listener.go
+++ b/internal/crintake/listener.go
@@ -10,6 +10,9 @@
 // Share is the part of a process's connections that one listener may take.
 type Share float64
 
+// of returns the share of n connections.
+func (s Share) of(n int) int { return max(int(math.Round(float64(n)*float64(s))), 1) }
+
 // Listener accepts connections within a budget. An http.Server that serves it must call ConnState; Attach sets that.
 type Listener struct {
 	net.Listener
@@ -31,8 +34,7 @@
 	if headerBytes == nil {
 		headerBytes = func() int { return DefaultHeaderBytes }
 	}
-	connections := max(int(math.Round(float64(b.MaxConnections())*float64(share))), 1)
-	return &Listener{Listener: ln, budget: b, name: name, connections: connections, headerBytes: headerBytes}
+	return &Listener{Listener: ln, budget: b, name: name, connections: share.of(b.MaxConnections()), headerBytes: headerBytes}
 }
 
 // Attach makes a server report the states of its connections to the listener that it will serve.
--- a/internal/crintake/peers_test.go
+++ b/internal/crintake/peers_test.go
@@ -9,8 +9,10 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,16 +23,25 @@
 	"github.com/citronramp/citronramp/internal/crnode"
 	"github.com/citronramp/citronramp/internal/crtest"
 	"github.com/citronramp/citronramp/internal/crwire"
+	"github.com/citronramp/citronramp/platform"
 )
 
 // Sizes of the protocol between processes.
 const (
 	firstMessageLimit = 1 << 10
 	nonceLength       = 16
+	// spareFDs is the number of descriptors that clients leave to files, links and the system's own processes.
+	spareFDs = 64
 	// reconnects is how often a client connects again after it has reset its connection.
 	reconnects = 50
 )
 
+// Frames of a multiplexed session.
+const (
+	dataFrame, windowFrame, pingFrame = 0, 1, 2
+	openFlag, ackFlag                 = 1, 2
+)
+
 // frame returns a message with its size in front.
 func frame(m proto.Message) string {
 	b, err := proto.Marshal(m)
@@ -85,6 +96,12 @@
 	return receive(c, &v) == nil && v.GetCode() == 0
 }
 
+// streamFrame returns the header of a frame of a session.
+func streamFrame(kind, flags byte, stream uint32, length int) string {
+	b := binary.BigEndian.AppendUint32([]byte{0, kind, 0, flags}, stream)
+	return string(binary.BigEndian.AppendUint32(b, uint32(length)))
+}
+
 // inSession sends within a session.
 func inSession(sends sender) sender {
 	return func(c net.Conn, to target) {
@@ -94,6 +111,26 @@
 	}
 }
 
+// answerPings answers the pings of a session in the background until the connection ends, so that the session stays open.
+func answerPings(c net.Conn, _ target) {
+	_ = c.SetDeadline(time.Time{})
+	go func() {
+		for {
+			var header [12]byte
+			if _, err := io.ReadFull(c, header[:]); err != nil {
+				return
+			}
+			if header[1] != pingFrame || header[3] != openFlag {
+				continue
+			}
+			id := int(binary.BigEndian.Uint32(header[8:]))
+			if _, err := io.WriteString(c, streamFrame(pingFrame, ackFlag, 0, id)); err != nil {
+				return
+			}
+		}
+	}()
+}
+
 // reconnect sends a part of a first message, resets the connection and connects again.
 func reconnect(_ net.Conn, to target) {
 	for range reconnects {
@@ -126,7 +163,7 @@
 	})},
 	{"handshakes that stop after the first message", crowdSize, crowdFDs, once(func(target) string { return frame(hello("tool")) })},
 	{"idle connections", idleSize, idleFDs, once(nothing)},
-	{"idle sessions", idleSize, idleFDs, inSession(func(net.Conn, target) {})},
+	{"idle sessions", idleSize, idleFDs, inSession(answerPings)},
 }
 
 // calls reports whether the process answers a call of the given method over a new connection.
@@ -208,3 +245,43 @@
 		})
 	}
 }
+
+// TestCrowdLeavesDescriptors guards against clients of one listener that take the descriptors which other listeners, files and
+// links of the process need: while they are connected, an operator and a metrics client are answered and a node joins.
+func TestCrowdLeavesDescriptors(t *testing.T) {
+	for _, crowd := range []crowd{
+		{"idle connections", idleSize, idleFDs, once(nothing)},
+		{"idle sessions", idleSize, idleFDs, inSession(answerPings)},
+	} {
+		t.Run(crowd.name, func(t *testing.T) {
+			core := startCore(t, nodeMemoryMB, crowd.fds)
+			connect(t, peerTarget(core.process, core.innerAddress(), nil), crowd)
+			core.await(t, "the coordinator answers an operator", func() bool {
+				status, _ := post(core.settings.Listen.Control, platform.ConfigGetTarget(), nil)
+				return status == http.StatusOK
+			})
+			core.await(t, "the coordinator answers a metrics client", func() bool {
+				return get(core.metricsAddress(), countersPath, "") == http.StatusOK
+			})
+			startNode(t, core, "ledger", nodeMemoryMB, crowdFDs)
+			descriptors := core.descriptors()
+			qt.Check(t, core.alive(), qt.IsTrue)
+			qt.Check(t, descriptors <= crowd.fds-spareFDs, qt.IsTrue, qt.Commentf("%d of %d", descriptors, crowd.fds))
+		})
+	}
+}
+
+// connect makes the clients of a crowd send and keeps their connections open until the end of the test.
+func connect(t *testing.T, to target, crowd crowd) {
+	done := make(chan struct{})
+	var sent, clients sync.WaitGroup
+	sent.Add(crowd.size)
+	for range crowd.size {
+		clients.Go(func() { join(to, crowd.sends, sent.Done, done) })
+	}
+	t.Cleanup(func() {
+		close(done)
+		clients.Wait()
+	})
+	sent.Wait()
+}
--- a/internal/crnode/intake.go
+++ b/internal/crnode/intake.go
@@ -8,13 +8,25 @@
 	"github.com/citronramp/citronramp/internal/crintake"
 )
 
-// callersListener returns the listener for callers within the budget of what the process holds for them.
-func (n *Node) callersListener() *crintake.Listener {
+// Shares of the connections that the process accepts from callers and for metrics. The sessions of other processes have the
+// descriptors that these leave.
+const (
+	callersShare = 0.5
+	adminShare   = 0.05
+)
+
+// limitClients sets the limits of what the process holds for callers and other processes.
+func (n *Node) limitClients() {
 	n.intake.MemoryBytes, n.intake.Descriptors, n.intake.Counters = int64(n.Settings.MemoryMB)<<20, n.Settings.MaxFDs, &n.Counters
 	n.intake.Log = func(_ time.Time, listener string, bound crintake.Bound) {
-		_ = level.Warn(n.Logger).Log("msg", "a limit for callers was reached", "listener", listener, "limit", bound)
+		_ = level.Warn(n.Logger).Log("msg", "a limit for clients was reached", "listener", listener, "limit", bound)
 	}
-	l := n.intake.Listen(n.Callers, "callers", 1, nil)
-	l.ChargeBodies = true
-	return l
+	n.intake.LimitPeers(n.endpoint, callersShare+adminShare)
+}
+
+// callersListener returns the listener for callers within the budget of what the process holds for them.
+func (n *Node) callersListener() *crintake.Listener {
+	callers := n.intake.Listen(n.Callers, "callers", callersShare, nil)
+	callers.ChargeBodies = true
+	return callers
 }
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -49,6 +49,7 @@
 			_ = level.Error(n.Logger).Log("msg", "cannot accept connections of other processes for a while", "err", err)
 		},
 	}
+	n.limitClients()
 	p.makeKeeper()
 	p.makeSpread()
 	n.directory = n.newDirectory()
--- a/internal/crsettings/crsettings_test.go
+++ b/internal/crsettings/crsettings_test.go
@@ -100,7 +100,7 @@
 	c.Assert(*set.Node, qt.DeepEquals, crsettings.Node{
 		Name: "ledger-1", Domain: "a", Region: "nyanda", Service: "ledger", Listen: "127.0.0.1:7101", Inner: "127.0.0.1:7201",
 		Admin: "127.0.0.1:7301", Control: []string{"127.0.0.1:7401"}, Secret: "0123456789abcdef", MaxBodyBytes: 1048576,
-		MaxRequests: 2000, MemoryMB: 1024, MaxFDs: 4096, QueueLength: 400, QueueTime: 100 * time.Millisecond, StopTimeout: 30 * time.Second,
+		MaxRequests: 2000, MemoryMB: 1024, MaxFDs: 8192, QueueLength: 400, QueueTime: 100 * time.Millisecond, StopTimeout: 30 * time.Second,
 	})
 	c.Assert(set.Control.Members, qt.HasLen, 3)
 	c.Assert(set.Control.StopTimeout, qt.Equals, 30*time.Second)
--- a/internal/crsettings/fields.go
+++ b/internal/crsettings/fields.go
@@ -17,8 +17,9 @@
 	defaultMaxBodyBytes = 1 << 20
 	defaultMaxRequests  = 2000
 	// defaultMemoryMB leaves an eighth for heads and bodies: 64 requests with the largest bodies.
-	defaultMemoryMB    = 1024
-	defaultMaxFDs      = 4096
+	defaultMemoryMB = 1024
+	// defaultMaxFDs leaves a connection for each of defaultMaxRequests.
+	defaultMaxFDs      = 8192
 	defaultQueueLength = 400
 	defaultQueueTime   = 100 * time.Millisecond
 	defaultStopTimeout = 30 * time.Second
--- a/internal/crwire/endpoint.go
+++ b/internal/crwire/endpoint.go
@@ -23,7 +23,10 @@
 	Mux *Mux
 	// OnSession, if set, is called with each accepted session.
 	OnSession func(*Session)
-	// OnRefused, if set, is called for each incoming connection whose handshake failed.
+	// MaxAccepted limits the accepted connections; 0 means no limit.
+	MaxAccepted int
+	// OnRefused, if set, is called for each incoming connection whose handshake failed, or that was closed because a limit
+	// was reached.
 	OnRefused func(net.Addr, error)
 	// OnAcceptError, if set, is called when the listener cannot accept connections for a while, at most once in 5 s.
 	OnAcceptError func(error)
@@ -31,8 +34,10 @@
 	mu     sync.Mutex
 	dialed map[string]*dialAttempt
 	open   map[*Session]struct{}
-	closed bool
-	wg     sync.WaitGroup
+	// accepted holds the accepted connections, with or without a session.
+	accepted map[*acceptedConn]struct{}
+	closed   bool
+	wg       sync.WaitGroup
 }
 
 // dialAttempt is a connection attempt, which several callers may wait for, and its result.
@@ -69,10 +74,17 @@
 			continue
 		}
 		pause = 0
+		c, ok := e.admit(time.Now(), conn)
+		if !ok {
+			_ = conn.Close()
+			e.refuse(conn.RemoteAddr(), ErrTooManyConnections)
+			continue
+		}
 		e.wg.Add(1)
 		go func() {
 			defer e.wg.Done()
-			e.accept(conn)
+			defer e.release(c)
+			e.accept(c)
 		}()
 	}
 }
@@ -91,21 +103,19 @@
 	return true
 }
 
-func (e *Endpoint) accept(conn net.Conn) {
-	peer, err := e.Identity.acceptHandshake(conn)
+func (e *Endpoint) accept(c *acceptedConn) {
+	peer, err := e.Identity.acceptHandshake(c)
 	if err != nil {
-		_ = conn.Close()
-		if e.OnRefused != nil {
-			e.OnRefused(conn.RemoteAddr(), err)
-		}
+		_ = c.Close()
+		e.refuse(c.RemoteAddr(), err)
 		return
 	}
-	s, err := newSession(conn, peer, e.Mux, false)
+	s, err := newSession(c.Conn, peer, e.Mux, false)
 	if err != nil {
-		_ = conn.Close()
+		_ = c.Close()
 		return
 	}
-	if !e.track(s) {
+	if !e.established(c, s) || !e.track(s) {
 		_ = s.Close()
 		return
 	}
@@ -224,6 +234,12 @@
 	for s := range e.open {
 		open = append(open, s)
 	}
+	for c := range e.accepted {
+		if c.session == nil {
+			// Ends the handshake.
+			_ = c.Close()
+		}
+	}
 	e.mu.Unlock()
 	for _, s := range open {
 		s.conn.closeConn()
--- a/internal/crwire/session.go
+++ b/internal/crwire/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -21,6 +22,8 @@
 	conn  *earlyCloseConn
 	yamux *yamux.Session
 	idle  idleStreams
+	// called is set after the first call of the peer.
+	called atomic.Bool
 	// ctx ends with the session, so that handlers stop when the connection to the peer is lost.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -171,6 +174,7 @@
 
 // answer runs the handler of one request and reports whether the stream can be used for another request.
 func (s *Session) answer(ctx context.Context, st *yamux.Stream, req *Envelope) bool {
+	s.called.Store(true)
 	h, ok := s.handler(req.GetMethod())
 	if !ok {
 		_ = writeFrame(st, errorEnvelope(crcode.New(crcode.UnknownMethod, "%q", req.GetMethod())), MaxMessageBytes)
