crwire: what peers make a process hold is bounded

Callers saw: clients of a coordinator's port for other processes, which has no secret on the users' platform, made it hold gigabytes and end by its memory limit. Cause: streams cost 8 KB and more, were not limited and waited 4,096 at a time in each session; a buffer for the largest message was allocated on its first four bytes; requests behind an unanswered one stayed in the buffers of yamux. Change: sessions, streams, frames and messages are counted while they arrive, before yamux keeps them. Buffers grow with what has arrived. A peer that sends a second request behind an unanswered one is closed, and data after the last request of a stream is discarded. inner_bytes shows the sum. TestMemoryBounds: 1,540 nodes with five streams each fit into the bound.

--- a/internal/crcoord/bounds_test.go
+++ b/internal/crcoord/bounds_test.go
@@ -21,11 +21,17 @@
 	documentBytes    = 4 << 20
 	noticeServices   = 128
 	noticeBytes      = 512
-	sessions         = 1430
-	sessionBytes     = 48 << 10
-	logLines         = 4096
-	logLineBytes     = 512
-	restingBytes     = 15 << 20
+	// nodeStreams is the number of streams that a node keeps open: its watches and some calls at the same time.
+	nodeStreams  = 5
+	sessionBytes = 24 << 10
+	streamBytes  = 8 << 10
+	// sessions is the number of nodes on one of 14 coordinators at full size, sessionsAfterLoss that after one is lost.
+	sessions          = 1430
+	sessionsAfterLoss = sessions * 14 / 13
+	logLines          = 4096
+	logLineBytes      = 512
+	restingBytes      = 15 << 20
+	connectionsHeld   = 2826
 )
 
 // TestMemoryBounds guards against bounds whose sum exceeds the memory of the smallest machine, and against a page that
@@ -49,7 +55,7 @@
 		{"log since the last snapshot", 2 * logSnapshotBytes},
 		{"configuration", 4 * documentBytes},
 		{"notices", crdirectory.MaxNotices * noticeBytes * noticeServices},
-		{"sessions of nodes", sessions * sessionBytes},
+		{"sessions of nodes", b.SessionMemory()},
 		{"log lines", logLines * logLineBytes},
 		{"program", restingBytes},
 	}
@@ -62,4 +68,7 @@
 	}
 	qt.Check(t, strings.TrimSpace(rows[len(bounds)]), qt.Equals, "")
 	qt.Check(t, sum <= memory, qt.IsTrue, qt.Commentf("%d MB", sum>>20))
+	qt.Check(t, sessionsAfterLoss*(sessionBytes+nodeStreams*streamBytes) <= b.SessionMemory(), qt.IsTrue)
+	qt.Check(t, b.MaxSessions(apiShare+adminShare), qt.Equals, connectionsHeld)
+	qt.Check(t, sessionsAfterLoss <= b.MaxSessions(apiShare+adminShare), qt.IsTrue, qt.Commentf("%d", b.MaxSessions(apiShare+adminShare)))
 }
--- a/internal/crcoord/intake.go
+++ b/internal/crcoord/intake.go
@@ -22,6 +22,7 @@
 	}
 	c.Counters.Declare(crintake.CounterNames()...)
 	c.Counters.Gauge("intake_bytes", func() any { return c.intake.Used() })
+	c.Counters.Gauge("inner_bytes", func() any { return c.endpoint.HeldBytes() })
 	c.intake.LimitPeers(c.endpoint, apiShare+adminShare)
 }
 
--- a/internal/crintake/peers_test.go
+++ b/internal/crintake/peers_test.go
@@ -30,6 +30,10 @@
 const (
 	firstMessageLimit = 1 << 10
 	nonceLength       = 16
+	// windowBytes is what a stream may carry before its receiver grants more.
+	windowBytes = 256 << 10
+	// unfinishedStreams is the number of streams on which a client begins a message that it does not end.
+	unfinishedStreams = 8
 	// spareFDs is the number of descriptors that clients leave to files, links and the system's own processes.
 	spareFDs = 64
 	// reconnects is how often a client connects again after it has reset its connection.
@@ -131,6 +135,24 @@
 	}()
 }
 
+// openStreams opens streams until the connection fails or endlessTime has passed.
+func openStreams(c net.Conn, _ target) {
+	_ = c.SetWriteDeadline(time.Now().Add(endlessTime))
+	for id := uint32(1); ; id += 2 {
+		if _, err := io.WriteString(c, streamFrame(windowFrame, openFlag, id, 0)); err != nil {
+			return
+		}
+	}
+}
+
+// beginMessages begins a message of the largest size on each of several streams.
+func beginMessages(c net.Conn, _ target) {
+	for i := range uint32(unfinishedStreams) {
+		text := announce(crwire.MaxMessageBytes) + strings.Repeat("x", windowBytes-4)
+		_, _ = io.WriteString(c, streamFrame(dataFrame, openFlag, 2*i+1, len(text))+text)
+	}
+}
+
 // reconnect sends a part of a first message, resets the connection and connects again.
 func reconnect(_ net.Conn, to target) {
 	for range reconnects {
@@ -164,6 +186,8 @@
 	{"handshakes that stop after the first message", crowdSize, crowdFDs, once(func(target) string { return frame(hello("tool")) })},
 	{"idle connections", idleSize, idleFDs, once(nothing)},
 	{"idle sessions", idleSize, idleFDs, inSession(answerPings)},
+	{"streams without end", crowdSize, crowdFDs, inSession(openStreams)},
+	{"messages that stop before their end", crowdSize, crowdFDs, inSession(beginMessages)},
 }
 
 // calls reports whether the process answers a call of the given method over a new connection.
--- a/internal/crnode/dump.go
+++ b/internal/crnode/dump.go
@@ -146,6 +146,7 @@
 	n.Counters.Declare(counterNames...)
 	n.Counters.Declare(crintake.CounterNames()...)
 	n.Counters.Gauge("intake_bytes", func() any { return n.intake.Used() })
+	n.Counters.Gauge("inner_bytes", func() any { return n.endpoint.HeldBytes() })
 	n.Counters.Gauge("kinds", func() any { return n.goodput.snapshot() })
 	n.Counters.Gauge("requests_in_node", func() any { return n.requests.inFlight() })
 	n.Counters.Gauge("gate_limit", func() any { return n.gate.load().Limit })
--- a/internal/crwire/endpoint.go
+++ b/internal/crwire/endpoint.go
@@ -23,8 +23,9 @@
 	Mux *Mux
 	// OnSession, if set, is called with each accepted session.
 	OnSession func(*Session)
-	// MaxAccepted limits the accepted connections; 0 means no limit.
+	// MaxAccepted limits the accepted connections, MaxBytes what their sessions hold for the peers; 0 means no limit.
 	MaxAccepted int
+	MaxBytes    int64
 	// OnRefused, if set, is called for each incoming connection whose handshake failed, or that was closed because a limit
 	// was reached.
 	OnRefused func(net.Addr, error)
@@ -36,6 +37,7 @@
 	open   map[*Session]struct{}
 	// accepted holds the accepted connections, with or without a session.
 	accepted map[*acceptedConn]struct{}
+	holdings holdings
 	closed   bool
 	wg       sync.WaitGroup
 }
@@ -57,6 +59,7 @@
 
 // Serve accepts sessions until the listener is closed. Close waits for the accepted connections.
 func (e *Endpoint) Serve(ln net.Listener) error {
+	e.holdings.limit = e.MaxBytes
 	var pause time.Duration
 	var reported time.Time
 	for {
@@ -110,11 +113,12 @@
 		e.refuse(c.RemoteAddr(), err)
 		return
 	}
-	s, err := newSession(c.Conn, peer, e.Mux, false)
+	s, err := newAcceptedSession(c.Conn, peer, e.Mux, &e.holdings, func(s *Session) { e.refuse(s.RemoteAddr(), ErrTooMuchMemory) })
 	if err != nil {
 		_ = c.Close()
 		return
 	}
+	defer e.holdings.remove(s)
 	if !e.established(c, s) || !e.track(s) {
 		_ = s.Close()
 		return
@@ -211,7 +215,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	s, err := newSession(conn, peer, e.Mux, true)
+	s, err := newSession(conn, peer, e.Mux)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -219,6 +223,9 @@
 	return s, nil
 }
 
+// HeldBytes returns what the accepted sessions hold for their peers, estimated.
+func (e *Endpoint) HeldBytes() int64 { return e.holdings.sum() }
+
 // SessionCount returns the number of open sessions, accepted and dialed.
 func (e *Endpoint) SessionCount() int {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/crwire/holding_test.go
@@ -0,0 +1,140 @@
+package crwire
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+)
+
+// dialRaw opens a connection and completes the handshake; the caller speaks yamux itself.
+func dialRaw(t *testing.T, addr string) net.Conn {
+	conn, err := net.Dial("tcp", addr)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = identity("raw", "s").dialHandshake(conn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	return conn
+}
+
+// yamuxFrame returns the header of a frame.
+func yamuxFrame(kind, flags byte, stream uint32, length int) []byte {
+	b := binary.BigEndian.AppendUint32([]byte{0, kind, 0, flags}, stream)
+	return binary.BigEndian.AppendUint32(b, uint32(length))
+}
+
+// isClosed reports whether the other side closes the connection.
+func isClosed(conn net.Conn) bool {
+	_, err := io.Copy(io.Discard, conn)
+	n, ok := err.(net.Error)
+	return !ok || !n.Timeout()
+}
+
+// TestLargestSessionIsEnded guards against a peer whose unfinished messages are kept without bound, or are paid for by the
+// session of another peer.
+func TestLargestSessionIsEnded(t *testing.T) {
+	const limit = 4 << 20
+	e := &Endpoint{MaxBytes: limit}
+	addr, refused := serveEcho(t, e)
+	other, err := dialer(t, "s").Session(context.Background(), addr)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, echo(other), qt.IsNil)
+	greedy := dialRaw(t, addr)
+	part := append(binary.BigEndian.AppendUint32(nil, MaxMessageBytes), make([]byte, windowBytes/2)...)
+	for id := uint32(1); id < 40; id += 2 {
+		if _, err = greedy.Write(append(yamuxFrame(yamuxTypeData, yamuxFlagSYN, id, len(part)), part...)); err != nil {
+			break
+		}
+	}
+	qt.Check(t, isClosed(greedy), qt.IsTrue)
+	qt.Check(t, refused.Load(), qt.Equals, int32(1))
+	qt.Check(t, echo(other), qt.IsNil)
+	for end := time.Now().Add(10 * time.Second); e.HeldBytes() > sessionBytes+streamBytes && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, e.HeldBytes(), qt.Equals, int64(sessionBytes+streamBytes))
+}
+
+// TestUnansweredRequests guards against a peer that sends requests without waiting for answers, whose bytes would be kept
+// while a handler runs.
+func TestUnansweredRequests(t *testing.T) {
+	var mux Mux
+	Handle(&mux, "wait", func(ctx context.Context, _ *Session, _ *CallRequest) (*CallResponse, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	addr := serve(t, &Endpoint{Identity: identity("server", "s"), Mux: &mux})
+	conn := dialRaw(t, addr)
+	var text bytes.Buffer
+	qt.Assert(t, writeFrame(&text, &Envelope{Method: "wait"}, MaxMessageBytes), qt.IsNil)
+	flags := byte(yamuxFlagSYN)
+	for range 3 {
+		_, err := conn.Write(append(yamuxFrame(yamuxTypeData, flags, 1, text.Len()), text.Bytes()...))
+		qt.Assert(t, err, qt.IsNil)
+		flags = 0
+	}
+	qt.Check(t, isClosed(conn), qt.IsTrue)
+}
+
+// TestFrameMeter guards against frames that are counted otherwise when they arrive in other pieces, and against a count that
+// is left after the data has arrived.
+func TestFrameMeter(t *testing.T) {
+	data := make([]byte, 3*firstBytes)
+	text := append(yamuxFrame(yamuxTypeData, yamuxFlagSYN, 1, len(data)), data...)
+	text = append(text, yamuxFrame(yamuxTypeData+1, 0, 1, 1<<20)...)
+	text = append(text, yamuxFrame(yamuxTypeData+1, yamuxFlagSYN, 3, 0)...)
+	for _, piece := range []int{1, 5, yamuxHeaderBytes, 100, firstBytes, len(text)} {
+		var held, most int64
+		m := &frameMeter{hold: func(n int64) { held += n; most = max(most, held) }}
+		for p := text; len(p) > 0; p = p[min(piece, len(p)):] {
+			m.read(p[:min(piece, len(p))])
+		}
+		qt.Check(t, held, qt.Equals, int64(2*streamBytes), qt.Commentf("pieces of %d", piece))
+		if piece < len(data) {
+			qt.Check(t, most >= streamBytes+int64(len(data)-piece)*readCost, qt.IsTrue, qt.Commentf("pieces of %d", piece))
+		}
+	}
+}
+
+// FuzzFrameMeter guards against input that stops the meter or leaves a negative sum.
+func FuzzFrameMeter(f *testing.F) {
+	f.Add(yamuxFrame(yamuxTypeData, yamuxFlagSYN, 1, 5), 3)
+	f.Add(bytes.Repeat([]byte{0xff}, 64), 7)
+	f.Fuzz(func(t *testing.T, text []byte, piece int) {
+		var held int64
+		m := &frameMeter{hold: func(n int64) { held += n }}
+		for piece = max(piece, 1); len(text) > 0; text = text[min(piece, len(text)):] {
+			m.read(text[:min(piece, len(text))])
+			qt.Assert(t, held >= 0, qt.IsTrue)
+		}
+	})
+}
+
+// TestLargeMessage guards against a message that is changed when its buffer grows, and against memory that stays counted.
+func TestLargeMessage(t *testing.T) {
+	var mux Mux
+	Handle(&mux, "echo", func(_ context.Context, _ *Session, req *CallRequest) (*CallResponse, error) {
+		return &CallResponse{Body: req.GetBody()}, nil
+	})
+	e := &Endpoint{Identity: identity("server", "s"), Mux: &mux, MaxBytes: 64 << 20}
+	addr := serve(t, e)
+	s, err := dialer(t, "s").Session(context.Background(), addr)
+	qt.Assert(t, err, qt.IsNil)
+	for _, size := range []int{0, 1, firstBytes, firstBytes + 1, windowBytes, 1 << 20} {
+		body := bytes.Repeat([]byte("abcdefg"), size/7+1)[:size]
+		resp, err := Call[CallResponse](context.Background(), s, "echo", &CallRequest{Body: body})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, proto.Equal(resp, &CallResponse{Body: body}), qt.IsTrue, qt.Commentf("%d bytes", size))
+	}
+	for end := time.Now().Add(10 * time.Second); e.HeldBytes() > sessionBytes+streamBytes && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, e.HeldBytes(), qt.Equals, int64(sessionBytes+streamBytes))
+}
--- a/internal/crwire/line.go
+++ b/internal/crwire/line.go
@@ -14,6 +14,8 @@
 	closeOnce, readEndedOnce sync.Once
 	// readEnded is closed when reading has ended.
 	readEnded chan struct{}
+	// frames, if set, follows the frames that are read.
+	frames *frameMeter
 }
 
 func newEarlyCloseConn(conn net.Conn) *earlyCloseConn {
@@ -28,6 +30,9 @@
 // Read closes the connection at the first error.
 func (l *earlyCloseConn) Read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
+	if err == nil && l.frames != nil {
+		l.frames.read(p[:n])
+	}
 	if err != nil {
 		l.closeConn()
 		l.endRead()
--- a/internal/crwire/line_test.go
+++ b/internal/crwire/line_test.go
@@ -80,7 +80,7 @@
 			config.EnableKeepAlive = false
 			far, err := yamux.Client(farConn, config)
 			qt.Assert(t, err, qt.IsNil)
-			s, err := newSession(near, Peer{}, &Mux{}, false)
+			s, err := newAcceptedSession(near, Peer{}, &Mux{}, new(holdings), nil)
 			qt.Assert(t, err, qt.IsNil)
 			st, err := far.OpenStream()
 			qt.Assert(t, err, qt.IsNil)
--- a/internal/crwire/merge.go
+++ b/internal/crwire/merge.go
@@ -9,10 +9,14 @@
 const (
 	yamuxHeaderBytes = 12
 	yamuxTypeData    = 0
+	yamuxFlagSYN     = 1
 	// maxMerged limits the size of bodies that are copied; a larger body is written separately.
 	maxMerged = 64 << 10
 )
 
+// yamuxLength returns the length in a frame header.
+func yamuxLength(header []byte) uint32 { return binary.BigEndian.Uint32(header[8:]) }
+
 // mergingConn is a connection that writes the header and the body of a yamux data frame in one write. Yamux writes them one after
 // the other from a single goroutine, which costs one more system call, and often one more packet, for each frame.
 type mergingConn struct {
@@ -28,7 +32,7 @@
 		return m.writeBody(p)
 	}
 	if len(p) == yamuxHeaderBytes && p[1] == yamuxTypeData {
-		if n := binary.BigEndian.Uint32(p[8:]); n > 0 && n <= maxMerged {
+		if n := yamuxLength(p); n > 0 && n <= maxMerged {
 			m.bodyBytes = int(n)
 			m.buf = append(m.buf[:0], p...)
 			return len(p), nil
--- a/internal/crwire/session.go
+++ b/internal/crwire/session.go
@@ -22,6 +22,9 @@
 	conn  *earlyCloseConn
 	yamux *yamux.Session
 	idle  idleStreams
+	// holdings counts what the session holds, nil for a dialed session.
+	holdings *holdings
+	onEvict  func(*Session)
 	// called is set after the first call of the peer.
 	called atomic.Bool
 	// ctx ends with the session, so that handlers stop when the connection to the peer is lost.
@@ -48,21 +51,26 @@
 	return c
 }
 
-func newSession(conn net.Conn, peer Peer, mux *Mux, client bool) (*Session, error) {
-	var (
-		ya  *yamux.Session
-		err error
-	)
-	lower := newEarlyCloseConn(conn)
-	if client {
-		ya, err = yamux.Client(&mergingConn{Conn: lower}, yamuxConfig())
-	} else {
-		ya, err = yamux.Server(&mergingConn{Conn: lower}, yamuxConfig())
-	}
-	if err != nil {
+// newSession starts the dialing side of a session.
+func newSession(conn net.Conn, peer Peer, mux *Mux) (*Session, error) {
+	return (&Session{peer: peer, mux: mux, conn: newEarlyCloseConn(conn)}).start(yamux.Client)
+}
+
+// newAcceptedSession starts the listening side of a session, whose peer may hold a part of h; onEvict is called with the
+// sessions that are closed for it.
+func newAcceptedSession(conn net.Conn, peer Peer, mux *Mux, h *holdings, onEvict func(*Session)) (*Session, error) {
+	s := &Session{peer: peer, mux: mux, conn: newEarlyCloseConn(conn), holdings: h, onEvict: onEvict}
+	s.conn.frames = &frameMeter{hold: s.hold}
+	h.register(s)
+	s.hold(sessionBytes)
+	return s.start(yamux.Server)
+}
+
+func (s *Session) start(side func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
+	var err error
+	if s.yamux, err = side(&mergingConn{Conn: s.conn}, yamuxConfig()); err != nil {
 		return nil, crcode.New(crcode.ConnectionLost, "%v", err)
 	}
-	s := &Session{peer: peer, mux: mux, conn: lower, yamux: ya}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wg.Add(1)
 	go s.acceptLoop()
@@ -87,6 +95,20 @@
 	}
 }
 
+// hold changes what the session holds by n bytes, and closes the session that holds most when all hold too much.
+func (s *Session) hold(n int64) {
+	if s.holdings == nil {
+		return
+	}
+	if largest := s.holdings.add(s, n); largest != nil {
+		largest.conn.closeConn()
+		s.onEvict(largest)
+	}
+	if n > 0 {
+		s.holdings.awaitRelease(s)
+	}
+}
+
 // Peer returns the process at the other end of the session.
 func (s *Session) Peer() Peer { return s.peer }
 
@@ -122,9 +144,10 @@
 	}
 }
 
-// request is a request read from a stream, or the error of reading it.
+// request is a request read from a stream with the memory that it holds, or the error of reading it.
 type request struct {
 	envelope *Envelope
+	held     int64
 	err      error
 }
 
@@ -133,21 +156,29 @@
 	defer func() { _ = st.Close() }()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	requests := make(chan request)
+	// A caller sends a request after the answer to the one before, so that at most one waits here.
+	requests := make(chan request, 1)
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
-		defer cancel()
-		readRequests(ctx, st, requests)
+		// frameMeter has counted the stream.
+		defer s.hold(-streamBytes)
+		if s.readRequests(ctx, st, requests) {
+			cancel()
+		}
+		drain(st)
+		select {
+		case r := <-requests:
+			s.hold(-r.held)
+		default:
+		}
 	}()
 	for {
 		select {
 		case r := <-requests:
-			if r.err != nil {
-				_ = writeFrame(st, errorEnvelope(r.err), MaxMessageBytes)
-				return
-			}
-			if !s.answer(ctx, st, r.envelope) {
+			again := s.answer(ctx, st, r)
+			s.hold(-r.held)
+			if !again {
 				return
 			}
 		case <-ctx.Done():
@@ -156,24 +187,74 @@
 	}
 }
 
-// readRequests sends the requests of a stream to out until the stream or ctx ends.
-func readRequests(ctx context.Context, st *yamux.Stream, out chan<- request) {
-	for {
+// readRequests sends the requests of a stream to out until the stream or ctx ends, or a request cannot be read, and reports
+// whether the stream has ended. It ends the session when the caller does not wait for answers.
+func (s *Session) readRequests(ctx context.Context, st *yamux.Stream, out chan<- request) (ended bool) {
+	for ctx.Err() == nil {
 		r := request{envelope: new(Envelope)}
-		r.err = readFrame(st, r.envelope, MaxMessageBytes)
-		if r.err != nil && crcode.Of(r.err) == crcode.ConnectionLost {
-			return
+		size, err := readSize(st, MaxMessageBytes)
+		if isLost(err) {
+			return true
 		}
-		select {
-		case out <- r:
-		case <-ctx.Done():
+		if len(out) == cap(out) {
+			s.conn.closeConn()
+			return true
+		}
+		if err == nil {
+			r.held, err = s.readRequest(st, size, r.envelope)
+		}
+		if isLost(err) {
+			s.hold(-r.held)
+			return true
+		}
+		// There is room, since only this goroutine sends.
+		r.err = err
+		out <- r
+		if err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func isLost(err error) bool { return crcode.Of(err) == crcode.ConnectionLost }
+
+// readRequest reads a request of the given size and returns what the session holds for it until it has been answered.
+func (s *Session) readRequest(st *yamux.Stream, size int, to *Envelope) (held int64, err error) {
+	var reading int64
+	reserve := func(n int) {
+		reading += int64(n) * readCost
+		s.hold(int64(n) * readCost)
+	}
+	if size > firstBytes {
+		// The buffer of the stream.
+		reserve(min(size, windowBytes))
+		defer st.Shrink()
+	}
+	err = readBody(st, to, size, reserve)
+	held = int64(size) * messageCost
+	s.hold(held - reading)
+	return held, err
+}
+
+// drain discards what a stream still receives after its last request, so that it is not kept until the stream is closed.
+func drain(st *yamux.Stream) {
+	var buf [512]byte
+	for {
+		if _, err := st.Read(buf[:]); err != nil {
 			return
 		}
+		st.Shrink()
 	}
 }
 
 // answer runs the handler of one request and reports whether the stream can be used for another request.
-func (s *Session) answer(ctx context.Context, st *yamux.Stream, req *Envelope) bool {
+func (s *Session) answer(ctx context.Context, st *yamux.Stream, r request) bool {
+	if r.err != nil {
+		_ = writeFrame(st, errorEnvelope(r.err), MaxMessageBytes)
+		return false
+	}
+	req := r.envelope
 	s.called.Store(true)
 	h, ok := s.handler(req.GetMethod())
 	if !ok {
@@ -182,7 +263,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	send := func(m proto.Message) error { return sendMessage(st, "", m) }
+	send := func(m proto.Message) error {
+		n := int64(proto.Size(m)) * messageCost
+		s.hold(n)
+		defer s.hold(-n)
+		return sendMessage(st, "", m)
+	}
 	resp, err := h(ctx, s, req.GetPayload(), send)
 	if err == nil && resp != nil {
 		err = send(resp)
