crwire: a peer that sends pings without end is closed

Callers saw: memory of a coordinator far above its limit. Cause: yamux starts a goroutine for each ping, which waits up to 1 s when the peer does not read its answers. Change: a session ends after 16 pings in a second; a process sends one in a second.

--- a/internal/crintake/peers_test.go
+++ b/internal/crintake/peers_test.go
@@ -188,6 +188,7 @@
 	{"idle sessions", idleSize, idleFDs, inSession(answerPings)},
 	{"streams without end", crowdSize, crowdFDs, inSession(openStreams)},
 	{"messages that stop before their end", crowdSize, crowdFDs, inSession(beginMessages)},
+	{"pings without end", crowdSize, crowdFDs, inSession(endless(nothing, strings.Repeat(streamFrame(pingFrame, openFlag, 0, 7), 256), 0))},
 }
 
 // calls reports whether the process answers a call of the given method over a new connection.
--- a/internal/crwire/holding.go
+++ b/internal/crwire/holding.go
@@ -121,6 +121,12 @@
 	releasePoll    = time.Millisecond
 )
 
+// maxPings limits the pings of a peer in a second. Each makes yamux start a goroutine; a peer needs one in a second.
+const maxPings = 16
+
+// errTooManyPings ends the session of a peer that sends more than maxPings in a second.
+var errTooManyPings = errors.New("too many pings")
+
 // frameMeter follows the frames that a session receives, before yamux does.
 type frameMeter struct {
 	// hold is called with the memory of each stream that the peer opens, with that of a data frame until it has arrived, and
@@ -132,10 +138,13 @@
 	// left is the number of bytes that are left of a data frame, held what was passed to hold for it.
 	left int
 	held int64
+	// second is the start of the second in which count pings have come.
+	second time.Time
+	count  int
 }
 
 // read follows the next bytes of the connection.
-func (m *frameMeter) read(p []byte) {
+func (m *frameMeter) read(now time.Time, p []byte) error {
 	for len(p) > 0 {
 		if m.left > 0 {
 			p = p[m.skip(len(p)):]
@@ -144,25 +153,38 @@
 		n := copy(m.header[m.have:], p)
 		p = p[n:]
 		if m.have += n; m.have < yamuxHeaderBytes {
-			return
+			return nil
 		}
 		m.have = 0
-		m.readHeader()
+		if err := m.readHeader(now); err != nil {
+			return err
+		}
 	}
 	if m.left > 0 && m.held == 0 {
 		m.held = int64(min(m.left, windowBytes)) * readCost
 		m.hold(m.held)
 	}
+	return nil
 }
 
-func (m *frameMeter) readHeader() {
+func (m *frameMeter) readHeader(now time.Time) error {
 	kind := m.header[1]
+	if kind == yamuxTypePing {
+		if now.Sub(m.second) >= time.Second {
+			m.second, m.count = now, 0
+		}
+		if m.count++; m.count > maxPings {
+			return errTooManyPings
+		}
+		return nil
+	}
 	if kind == yamuxTypeData {
 		m.left = int(yamuxLength(m.header[:]))
 	}
 	if m.header[3]&yamuxFlagSYN != 0 {
 		m.hold(streamBytes)
 	}
+	return nil
 }
 
 // skip passes over at most n bytes of the data of a frame and returns their number.
--- a/internal/crwire/line.go
+++ b/internal/crwire/line.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // earlyCloseConn is the connection below a yamux session. When a yamux session ends, it first wakes the readers of its streams, then
@@ -31,7 +32,7 @@
 func (l *earlyCloseConn) Read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
 	if err == nil && l.frames != nil {
-		l.frames.read(p[:n])
+		err = l.frames.read(time.Now(), p[:n])
 	}
 	if err != nil {
 		l.closeConn()
--- a/internal/crwire/merge.go
+++ b/internal/crwire/merge.go
@@ -9,6 +9,7 @@
 const (
 	yamuxHeaderBytes = 12
 	yamuxTypeData    = 0
+	yamuxTypePing    = 2
 	yamuxFlagSYN     = 1
 	// maxMerged limits the size of bodies that are copied; a larger body is written separately.
 	maxMerged = 64 << 10
