crnode: the listener for metrics is within the budget of clients

Callers saw: clients at the address for metrics and dumps made the product's node exceed its memory. Cause: only the bounds of net/http held there.

--- a/internal/crnode/intake.go
+++ b/internal/crnode/intake.go
@@ -24,9 +24,9 @@
 	n.intake.LimitPeers(n.endpoint, callersShare+adminShare)
 }
 
-// callersListener returns the listener for callers within the budget of what the process holds for them.
-func (n *Node) callersListener() *crintake.Listener {
-	callers := n.intake.Listen(n.Callers, "callers", callersShare, nil)
+// clientListeners returns the listeners for callers and metrics within the budget of what the process holds for them.
+func (n *Node) clientListeners() (callers, admin *crintake.Listener) {
+	callers = n.intake.Listen(n.Callers, "callers", callersShare, nil)
 	callers.ChargeBodies = true
-	return callers
+	return callers, n.intake.Listen(n.Admin, "admin", adminShare, nil)
 }
--- a/internal/crnode/parts.go
+++ b/internal/crnode/parts.go
@@ -50,6 +50,7 @@
 		},
 	}
 	n.limitClients()
+	callers, admin := n.clientListeners()
 	p.makeKeeper()
 	p.makeSpread()
 	n.directory = n.newDirectory()
@@ -59,7 +60,7 @@
 	n.servicesMu.Unlock()
 	n.announceToDirectory(Announcement{State: StateStarting})
 	p.run(adminCtx, func(ctx context.Context) {
-		p.logFailure("admin", cradmin.Serve(ctx, n.Admin, (&cradmin.Admin{Dumper: p, Counters: &n.Counters}).Handler()))
+		p.logFailure("admin", cradmin.Serve(ctx, admin, (&cradmin.Admin{Dumper: p, Counters: &n.Counters}).Handler()))
 	})
 	p.run(ctx, func(context.Context) { p.logFailure("inner", n.endpoint.Serve(n.Inner)) })
 	p.run(ctx, func(ctx context.Context) { p.logFailure("spread", p.node.spread.Run(ctx)) })
@@ -75,7 +76,6 @@
 			_ = level.Info(n.Logger).Log("msg", "the machine was suspended", "took", slept)
 		})
 	})
-	callers := n.callersListener()
 	callers.Attach(p.http)
 	p.run(ctx, func(context.Context) { p.logFailure("callers", p.http.Serve(callers)) })
 	return p, nil
