crcontrol: limits of memory and descriptors for operators, metrics and other processes

Callers saw: clients at the address for operators or metrics made a control instance exceed any limit. Cause: it had neither memory_mb nor max_fds, and only the bounds of net/http held. The collector's soft limit follows memory_mb.

--- a/internal/crcli/run.go
+++ b/internal/crcli/run.go
@@ -59,6 +59,7 @@
 			if err != nil {
 				return err
 			}
+			crintake.SetSoftMemoryLimit(int64(set.Control.MemoryMB) << 20)
 			ctl := &crcontrol.Control{
 				Settings: *set.Control, Inner: ln[0], Operator: ln[1], Admin: ln[2], Logger: logger, NewCluster: c.Bool("new-cluster"),
 			}
--- a/internal/crcontrol/crcontrol.go
+++ b/internal/crcontrol/crcontrol.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronramp/citronramp/internal/cradmin"
 	"github.com/citronramp/citronramp/internal/crdirectory"
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/internal/crreplica"
 	"github.com/citronramp/citronramp/internal/crsettings"
 	"github.com/citronramp/citronramp/internal/crspread"
@@ -38,6 +39,7 @@
 	root         *crspread.Root
 	directory    *crdirectory.Server
 	confirm      crreplica.Confirmation
+	intake       crintake.Budget
 	// handovers is accessed only by the goroutine of keeperLoop.
 	handovers handoverTracker
 
@@ -106,6 +108,7 @@
 	c.directory.Register(c.endpoint.Mux)
 	c.register()
 	c.gauges()
+	c.limitClients()
 	return nil
 }
 
@@ -141,9 +144,10 @@
 			_ = level.Info(c.Logger).Log("msg", "the machine was suspended", "took", slept)
 		})
 	})
-	c.run(func() { c.reportFailure("operator", cradmin.Serve(ctx, c.Operator, c.operatorHandler())) })
+	operator, admin := c.clientListeners()
+	c.run(func() { c.reportFailure("operator", cradmin.Serve(ctx, operator, c.operatorHandler())) })
 	c.run(func() {
-		c.reportFailure("admin", cradmin.Serve(ctx, c.Admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
+		c.reportFailure("admin", cradmin.Serve(ctx, admin, (&cradmin.Admin{Dumper: c, Counters: &c.Counters}).Handler()))
 	})
 }
 
--- a/internal/crintake/deploy_test.go
+++ b/internal/crintake/deploy_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -355,3 +356,26 @@
 	m.await(t, "the product's node answers", func() bool { return get(p.clients, "/v1/id", "") == http.StatusOK })
 	return p
 }
+
+// startControl starts the product's control instance as the only voter of a new cluster.
+func startControl(t *testing.T, memoryMB, fds int) product {
+	p := startProduct(t, "control", "operator", "control-1", memoryMB, fds, fmt.Sprintf("data_dir = %q\n", t.TempDir()), "--new-cluster")
+	m := &machine{process: p.process}
+	m.await(t, "the product's control instance answers", func() bool { return command(p.clients) == http.StatusOK })
+	return p
+}
+
+// command sends an operator's command and returns the status of the answer, 0 if there was none.
+func command(address string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+commandPath, strings.NewReader("show leader"))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+productSecret)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/internal/crintake/operators_test.go
+++ b/internal/crintake/operators_test.go
@@ -38,6 +38,14 @@
 	return operatorTarget(p.process, countersPath, p.admin)
 }
 
+func controlOperatorsTarget(t *testing.T, fds int) target {
+	p := startControl(t, nodeMemoryMB, fds)
+	to := target{process: p.process, address: p.clients, others: []string{p.admin}, headBytes: headerLimit}
+	return callTarget(to, commandPath, func() bool {
+		return command(p.clients) == http.StatusOK && get(p.admin, countersPath, "") == http.StatusOK
+	})
+}
+
 // TestOperatorCrowds guards against clients of the listeners for operators, metrics and readiness that make a process exceed
 // the memory or the descriptors of its settings, end it or keep it from answering afterwards. It checks no times.
 func TestOperatorCrowds(t *testing.T) {
@@ -49,6 +57,7 @@
 		{"readiness and metrics of a node", readinessAndMetricsTarget, nodeMemoryMB},
 		{"metrics of a coordinator", coordinatorMetricsTarget, nodeMemoryMB},
 		{"metrics of the product's node", productMetricsTarget, productMemoryMB},
+		{"operators and metrics of the product's control", controlOperatorsTarget, nodeMemoryMB},
 	}
 	for _, x := range targets {
 		t.Run(x.name, func(t *testing.T) {
--- a/internal/crintake/peers_test.go
+++ b/internal/crintake/peers_test.go
@@ -233,6 +233,13 @@
 	})
 }
 
+func controlPeerTarget(t *testing.T, fds int) target {
+	p := startControl(t, nodeMemoryMB, fds)
+	return peerTarget(p.process, p.inner, func() bool {
+		return calls[crwire.IdentityResponse](p.inner, productSecret, "control.identity", &crwire.IdentityRequest{})
+	})
+}
+
 // TestPeerCrowds guards against clients of the listeners for other processes that make a process exceed the memory or the
 // descriptors of its settings, end it or its listener, or keep it from answering a call afterwards. It checks no times.
 func TestPeerCrowds(t *testing.T) {
@@ -243,6 +250,7 @@
 	}{
 		{"coordinator", coordinatorPeerTarget, nodeMemoryMB},
 		{"product's node", productPeerTarget, productMemoryMB},
+		{"product's control", controlPeerTarget, nodeMemoryMB},
 	}
 	for _, x := range targets {
 		t.Run(x.name, func(t *testing.T) {
--- a/internal/crsettings/crsettings.go
+++ b/internal/crsettings/crsettings.go
@@ -63,9 +63,12 @@
 	// Members lists the voters of a new cluster, including this instance. If it is empty, this instance is the only voter.
 	Members []Member
 	// Join lists the inner addresses of existing control instances, from which a replacement fetches the log.
-	Join        []string
-	Observer    bool
-	Secret      string
+	Join     []string
+	Observer bool
+	Secret   string
+	// MemoryMB is the memory limit of the process in MiB, MaxFDs the number of descriptors that it may open.
+	MemoryMB    int
+	MaxFDs      int
 	StopTimeout time.Duration
 }
 
--- a/internal/crsettings/fields.go
+++ b/internal/crsettings/fields.go
@@ -20,6 +20,8 @@
 	defaultMemoryMB = 1024
 	// defaultMaxFDs leaves a connection for each of defaultMaxRequests.
 	defaultMaxFDs      = 8192
+	minMemoryMB        = 32
+	minMaxFDs          = 128
 	defaultQueueLength = 400
 	defaultQueueTime   = 100 * time.Millisecond
 	defaultStopTimeout = 30 * time.Second
--- a/internal/crsettings/tables.go
+++ b/internal/crsettings/tables.go
@@ -37,8 +37,8 @@
 		Secret:       p.secret("node.secret"),
 		MaxBodyBytes: p.integer("node.max_body_bytes", defaultMaxBodyBytes, 1, defaultMaxBodyBytes),
 		MaxRequests:  p.integer("node.max_requests", defaultMaxRequests, 10, 100000),
-		MemoryMB:     p.integer("node.memory_mb", defaultMemoryMB, 32, 1<<20),
-		MaxFDs:       p.integer("node.max_fds", defaultMaxFDs, 128, 1<<20),
+		MemoryMB:     p.integer("node.memory_mb", defaultMemoryMB, minMemoryMB, 1<<20),
+		MaxFDs:       p.integer("node.max_fds", defaultMaxFDs, minMaxFDs, 1<<20),
 		QueueLength:  p.integer("node.queue_length", defaultQueueLength, 1, 100000),
 		QueueTime:    p.duration("node.queue_time", defaultQueueTime, time.Millisecond, 10*time.Second),
 		StopTimeout:  p.duration("node.stop_timeout", defaultStopTimeout, time.Second, 10*time.Minute),
@@ -57,6 +57,8 @@
 		Observer:    p.boolean("control.observer"),
 		Join:        p.addresses("control.join", false),
 		Secret:      p.secret("control.secret"),
+		MemoryMB:    p.integer("control.memory_mb", defaultMemoryMB, minMemoryMB, 1<<20),
+		MaxFDs:      p.integer("control.max_fds", defaultMaxFDs, minMaxFDs, 1<<20),
 		StopTimeout: p.duration("control.stop_timeout", defaultStopTimeout, time.Second, 10*time.Minute),
 	}
 	c.DataDir = p.dataDir(c.Observer)
