crsoak: clients that misbehave beside the others

Cause: no soak had clients that do not keep to the protocol; what they do to others while processes are stopped, killed and started was not shown. Processes are watched: one that ends by itself or exceeds 128 MB or 1,000 descriptors breaks a promise.

--- a/internal/crcli/soak.go
+++ b/internal/crcli/soak.go
@@ -23,6 +23,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "plays the schedule of a seed again; by default a new one"},
 			&cli.DurationFlag{Name: "duration", Aliases: []string{"d"}, Value: 20 * time.Second, Usage: "time in which faults come"},
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of runs, each with the next seed"},
+			&cli.IntFlag{Name: "crowd", Usage: "number of clients that misbehave at the listeners of all processes"},
 			&cli.StringFlag{Name: "keep", Usage: "`FOLDER` for settings, logs and data, by default a temporary one"},
 			&cli.StringFlag{Name: "network", Value: "127.90.0", Usage: "first three bytes of the loopback addresses"},
 		},
@@ -68,6 +69,6 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return crsoak.Result{}, err
 	}
-	soak := crsoak.Soak{Program: program, Dir: dir, Seed: seed, Duration: c.Duration("duration"), Network: c.String("network"), Out: s.out}
+	soak := crsoak.Soak{Program: program, Dir: dir, Seed: seed, Duration: c.Duration("duration"), Network: c.String("network"), Crowd: c.Int("crowd"), Out: s.out}
 	return soak.Run(ctx)
 }
--- a/internal/crsoak/crsoak.go
+++ b/internal/crsoak/crsoak.go
@@ -26,7 +26,9 @@
 	Duration time.Duration
 	// Network is the first three bytes of the loopback addresses of the run, such as "127.9.1".
 	Network string
-	Out     io.Writer
+	// Crowd is the number of clients that misbehave at the listeners of all processes during the run.
+	Crowd int
+	Out   io.Writer
 }
 
 // Sizes of a run: three coordinators tolerate the loss of one, three servers of each service the loss of two.
@@ -126,6 +128,10 @@
 	}
 	clients.Go(func() { r.operator.run(clientsCtx) })
 	clients.Go(func() { r.sendCrashing(clientsCtx) })
+	for i := range s.Crowd {
+		clients.Go(func() { r.runCrowd(clientsCtx, i) })
+	}
+	clients.Go(func() { r.watchLimits(clientsCtx) })
 	for _, a := range plan {
 		if err := crpause.For(ctx, time.Until(r.start.Add(a.At))); err != nil {
 			break
--- a/internal/crsoak/crsoak_test.go
+++ b/internal/crsoak/crsoak_test.go
@@ -175,6 +175,17 @@
 	qt.Assert(t, result.Versions > 5, qt.IsTrue, qt.Commentf("%s", out.String()))
 }
 
+// TestSoakCrowd runs a short schedule beside clients that misbehave; it guards against promises to other clients that these
+// break, and against processes that they end or make exceed their limits.
+func TestSoakCrowd(t *testing.T) {
+	var out strings.Builder
+	s := &Soak{Program: program(t), Dir: t.TempDir(), Seed: 2, Duration: 10 * time.Second, Network: network(), Crowd: 40, Out: &out}
+	result, err := s.Run(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, result.Broken, qt.HasLen, 0, qt.Commentf("%s", out.String()))
+	qt.Assert(t, result.Answered > 0, qt.IsTrue, qt.Commentf("%s", out.String()))
+}
+
 // TestClosing guards against a final fault that the same seed does not reproduce, and against a kind that is hardly ever
 // drawn.
 func TestClosing(t *testing.T) {
--- a/internal/crsoak/deploy.go
+++ b/internal/crsoak/deploy.go
@@ -50,7 +50,7 @@
 		s.Seeds = append(s.Seeds, r.address(seeds+i, controlPort))
 	}
 	s.Listen.Control = r.address(number, controlPort)
-	s.Limits.MemoryMB = 128
+	s.Limits.MemoryMB, s.Limits.MaxFDs = memoryLimitMB, descriptorLimit
 	s.Tolerance.Machines = 1
 	return s
 }
--- a/internal/crsoak/process.go
+++ b/internal/crsoak/process.go
@@ -22,7 +22,9 @@
 	cmd      *exec.Cmd
 	done     chan struct{}
 	termSent time.Time
-	started  int
+	// ending is set when the soak ends the process.
+	ending  bool
+	started int
 }
 
 func (p *process) file(kind string) string {
@@ -63,7 +65,7 @@
 		// The error is ignored: a killed process has no meaningful exit code; other failures are in the process's log.
 		_ = cmd.Wait()
 	}()
-	p.cmd, p.done, p.termSent = cmd, done, time.Time{}
+	p.cmd, p.done, p.termSent, p.ending = cmd, done, time.Time{}, false
 	return nil
 }
 
@@ -80,6 +82,7 @@
 func (p *process) kill() {
 	p.mu.Lock()
 	cmd, done := p.cmd, p.done
+	p.ending = true
 	p.mu.Unlock()
 	if cmd == nil {
 		return
@@ -91,7 +94,7 @@
 // stop sends SIGTERM and reports whether the process ended within the grace time; otherwise it kills the process.
 func (p *process) stop() (bool, error) {
 	p.mu.Lock()
-	p.termSent = time.Now()
+	p.termSent, p.ending = time.Now(), true
 	done := p.done
 	p.mu.Unlock()
 	if err := p.signal(syscall.SIGTERM); err != nil {
