crintake: the three tests of crowds share their loop

Cause: the same loop over listeners and crowds stood in three tests. Change: endureAll runs it; crowds, bounds and names are unchanged.

--- a/internal/crintake/crowd_test.go
+++ b/internal/crintake/crowd_test.go
@@ -267,23 +267,28 @@
 // TestCrowds guards against clients that make a process exceed the memory or the descriptors of its settings, end it or keep
 // it from answering an ordinary request afterwards. It checks no times.
 func TestCrowds(t *testing.T) {
-	targets := []struct {
-		name     string
-		deploy   deployment
-		memoryMB int64
-	}{
+	endureAll(t, crowds, []listener{
 		{"entrance", entranceTarget, nodeMemoryMB},
 		{"inbound", inboundTarget, nodeMemoryMB},
 		{"control", controlTarget, nodeMemoryMB},
 		{"coordinator", coordinatorTarget, nodeMemoryMB},
 		{"product", productTarget, productMemoryMB},
-	}
-	for _, x := range targets {
+	})
+}
+
+// listener is a listener of a process with the memory limit in the settings of the process.
+type listener struct {
+	name     string
+	deploy   deployment
+	memoryMB int64
+}
+
+// endureAll lets each crowd meet each listener, of a process of its own.
+func endureAll(t *testing.T, crowds []crowd, listeners []listener) {
+	for _, x := range listeners {
 		t.Run(x.name, func(t *testing.T) {
 			for _, crowd := range crowds {
-				t.Run(crowd.name, func(t *testing.T) {
-					endure(t, x.deploy(t, crowd.fds), crowd, x.memoryMB)
-				})
+				t.Run(crowd.name, func(t *testing.T) { endure(t, x.deploy(t, crowd.fds), crowd, x.memoryMB) })
 			}
 		})
 	}
--- a/internal/crintake/operators_test.go
+++ b/internal/crintake/operators_test.go
@@ -49,21 +49,10 @@
 // TestOperatorCrowds guards against clients of the listeners for operators, metrics and readiness that make a process exceed
 // the memory or the descriptors of its settings, end it or keep it from answering afterwards. It checks no times.
 func TestOperatorCrowds(t *testing.T) {
-	targets := []struct {
-		name     string
-		deploy   deployment
-		memoryMB int64
-	}{
+	endureAll(t, crowds, []listener{
 		{"readiness and metrics of a node", readinessAndMetricsTarget, nodeMemoryMB},
 		{"metrics of a coordinator", coordinatorMetricsTarget, nodeMemoryMB},
 		{"metrics of the product's node", productMetricsTarget, productMemoryMB},
 		{"operators and metrics of the product's control", controlOperatorsTarget, nodeMemoryMB},
-	}
-	for _, x := range targets {
-		t.Run(x.name, func(t *testing.T) {
-			for _, crowd := range crowds {
-				t.Run(crowd.name, func(t *testing.T) { endure(t, x.deploy(t, crowd.fds), crowd, x.memoryMB) })
-			}
-		})
-	}
+	})
 }
--- a/internal/crintake/peers_test.go
+++ b/internal/crintake/peers_test.go
@@ -243,22 +243,11 @@
 // TestPeerCrowds guards against clients of the listeners for other processes that make a process exceed the memory or the
 // descriptors of its settings, end it or its listener, or keep it from answering a call afterwards. It checks no times.
 func TestPeerCrowds(t *testing.T) {
-	targets := []struct {
-		name     string
-		deploy   deployment
-		memoryMB int64
-	}{
+	endureAll(t, peerCrowds, []listener{
 		{"coordinator", coordinatorPeerTarget, nodeMemoryMB},
 		{"product's node", productPeerTarget, productMemoryMB},
 		{"product's control", controlPeerTarget, nodeMemoryMB},
-	}
-	for _, x := range targets {
-		t.Run(x.name, func(t *testing.T) {
-			for _, crowd := range peerCrowds {
-				t.Run(crowd.name, func(t *testing.T) { endure(t, x.deploy(t, crowd.fds), crowd, x.memoryMB) })
-			}
-		})
-	}
+	})
 }
 
 // TestNodeStartsAfterCrowd guards against a coordinator that lets no node join after clients have taken its descriptors.
