crwire: a session may be closed for its memory before it has started

Callers would have seen: a process that ends when sessions hold too much while a new one is accepted. Change: the address comes from the connection; a session that cannot start and a message that cannot be read leave nothing counted. Measured: TestSessionBeyondLimit ended with a nil pointer before and passes since, also with -race.

--- a/internal/crwire/endpoint.go
+++ b/internal/crwire/endpoint.go
@@ -113,7 +113,7 @@
 		e.refuse(c.RemoteAddr(), err)
 		return
 	}
-	s, err := newAcceptedSession(c.Conn, peer, e.Mux, &e.holdings, func(s *Session) { e.refuse(s.RemoteAddr(), ErrTooMuchMemory) })
+	s, err := newAcceptedSession(c.Conn, peer, e.Mux, &e.holdings, func(s *Session) { e.refuse(s.conn.RemoteAddr(), ErrTooMuchMemory) })
 	if err != nil {
 		_ = c.Close()
 		return
--- a/internal/crwire/holding_test.go
+++ b/internal/crwire/holding_test.go
@@ -153,3 +153,16 @@
 	}
 	qt.Check(t, e.HeldBytes(), qt.Equals, int64(sessionBytes+streamBytes))
 }
+
+// TestSessionBeyondLimit guards against a process that ends when a session is closed before it has started.
+func TestSessionBeyondLimit(t *testing.T) {
+	addr, refused := serveEcho(t, &Endpoint{MaxBytes: sessionBytes - 1})
+	s, err := dialer(t, "s").Session(context.Background(), addr)
+	if err == nil {
+		qt.Check(t, echo(s), qt.IsNotNil)
+	}
+	for end := time.Now().Add(10 * time.Second); refused.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(t, refused.Load(), qt.Equals, int32(1))
+}
--- a/internal/crwire/session.go
+++ b/internal/crwire/session.go
@@ -24,7 +24,8 @@
 	idle  idleStreams
 	// holdings counts what the session holds, nil for a dialed session.
 	holdings *holdings
-	onEvict  func(*Session)
+	// onEvict is called with a session that is closed because all hold too much; it may not have started.
+	onEvict func(*Session)
 	// called is set after the first call of the peer.
 	called atomic.Bool
 	// ctx ends with the session, so that handlers stop when the connection to the peer is lost.
@@ -56,14 +57,18 @@
 	return (&Session{peer: peer, mux: mux, conn: newEarlyCloseConn(conn)}).start(yamux.Client)
 }
 
-// newAcceptedSession starts the listening side of a session, whose peer may hold a part of h; onEvict is called with the
-// sessions that are closed for it.
+// newAcceptedSession starts the listening side of a session, whose peer may hold a part of h. onEvict is called with
+// the sessions that are closed for it, which may not have started.
 func newAcceptedSession(conn net.Conn, peer Peer, mux *Mux, h *holdings, onEvict func(*Session)) (*Session, error) {
 	s := &Session{peer: peer, mux: mux, conn: newEarlyCloseConn(conn), holdings: h, onEvict: onEvict}
 	s.conn.frames = &frameMeter{hold: s.hold}
 	h.register(s)
 	s.hold(sessionBytes)
-	return s.start(yamux.Server)
+	if _, err := s.start(yamux.Server); err != nil {
+		h.remove(s)
+		return nil, err
+	}
+	return s, nil
 }
 
 func (s *Session) start(side func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
@@ -204,7 +209,6 @@
 			r.held, err = s.readRequest(st, size, r.envelope)
 		}
 		if isLost(err) {
-			s.hold(-r.held)
 			return true
 		}
 		// There is room, since only this goroutine sends.
@@ -231,7 +235,10 @@
 		reserve(min(size, windowBytes))
 		defer st.Shrink()
 	}
-	err = readBody(st, to, size, reserve)
+	if err = readBody(st, to, size, reserve); err != nil {
+		s.hold(-reading)
+		return 0, err
+	}
 	held = int64(size) * messageCost
 	s.hold(held - reading)
 	return held, err
