crwire: pings beyond the limit do not reach yamux

Cause: the read that met the limit returned its bytes beside the error, and yamux handled up to 341 pings of them, each in a goroutine, before it saw the error. Change: such a read returns no bytes. TestPingsNotPassedOn.

--- a/internal/crwire/holding_test.go
+++ b/internal/crwire/holding_test.go
@@ -132,6 +132,18 @@
 	})
 }
 
+// TestPingsNotPassedOn guards against pings beyond the limit that still reach yamux.
+func TestPingsNotPassedOn(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := newEarlyCloseConn(near)
+	conn.frames = new(frameMeter)
+	go func() { _, _ = far.Write(bytes.Repeat(yamuxFrame(yamuxTypePing, yamuxFlagSYN, 0, 1), maxPings+1)) }()
+	n, err := conn.Read(make([]byte, 4096))
+	qt.Check(t, n, qt.Equals, 0)
+	qt.Check(t, err, qt.ErrorIs, errTooManyPings)
+}
+
 // TestLargeMessage guards against a message that is changed when its buffer grows, and against memory that stays counted.
 func TestLargeMessage(t *testing.T) {
 	var mux Mux
--- a/internal/crwire/line.go
+++ b/internal/crwire/line.go
@@ -32,7 +32,9 @@
 func (l *earlyCloseConn) Read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
 	if err == nil && l.frames != nil {
-		err = l.frames.read(time.Now(), p[:n])
+		if err = l.frames.read(time.Now(), p[:n]); err != nil {
+			n = 0
+		}
 	}
 	if err != nil {
 		l.closeConn()
