crwire: data frames count until they are read from their stream

Cause: a frame was no longer counted once it had arrived, and its message only when the goroutine of the stream had read its length; on a busy machine hundreds of sessions held frames between the two. Change: the bytes of a large frame count until they are read.

--- a/internal/crwire/holding.go
+++ b/internal/crwire/holding.go
@@ -129,15 +129,14 @@
 
 // frameMeter follows the frames that a session receives, before yamux does.
 type frameMeter struct {
-	// hold is called with the memory of each stream that the peer opens, with that of a data frame until it has arrived, and
-	// with the same negative number then.
-	hold func(n int64)
-	// header holds the first bytes of a frame's header.
+	// onOpen is called for each stream that the peer opens, onData with the number of bytes of a data frame that is about to
+	// arrive and does not fit into the first buffer of a message.
+	onOpen func()
+	onData func(n int)
+	// header holds the first bytes of a frame's header, left is the number of bytes that are left of a data frame.
 	header [yamuxHeaderBytes]byte
 	have   int
-	// left is the number of bytes that are left of a data frame, held what was passed to hold for it.
-	left int
-	held int64
+	left   int
 	// second is the start of the second in which count pings have come.
 	second time.Time
 	count  int
@@ -147,7 +146,9 @@
 func (m *frameMeter) read(now time.Time, p []byte) error {
 	for len(p) > 0 {
 		if m.left > 0 {
-			p = p[m.skip(len(p)):]
+			n := min(len(p), m.left)
+			m.left -= n
+			p = p[n:]
 			continue
 		}
 		n := copy(m.header[m.have:], p)
@@ -160,10 +161,6 @@
 			return err
 		}
 	}
-	if m.left > 0 && m.held == 0 {
-		m.held = int64(min(m.left, windowBytes)) * readCost
-		m.hold(m.held)
-	}
 	return nil
 }
 
@@ -178,21 +175,13 @@
 		}
 		return nil
 	}
-	if kind == yamuxTypeData {
-		m.left = int(yamuxLength(m.header[:]))
-	}
 	if m.header[3]&yamuxFlagSYN != 0 {
-		m.hold(streamBytes)
+		m.onOpen()
 	}
-	return nil
-}
-
-// skip passes over at most n bytes of the data of a frame and returns their number.
-func (m *frameMeter) skip(n int) int {
-	n = min(n, m.left)
-	if m.left -= n; m.left == 0 && m.held > 0 {
-		m.hold(-m.held)
-		m.held = 0
+	if kind == yamuxTypeData {
+		if m.left = int(yamuxLength(m.header[:])); m.left > firstBytes {
+			m.onData(m.left)
+		}
 	}
-	return n
+	return nil
 }
--- a/internal/crwire/session.go
+++ b/internal/crwire/session.go
@@ -26,6 +26,8 @@
 	holdings *holdings
 	// onEvict is called with a session that is closed because all hold too much; it may not have started.
 	onEvict func(*Session)
+	// unread is the part of large data frames that has not been read from their streams.
+	unread atomic.Int64
 	// called is set after the first call of the peer.
 	called atomic.Bool
 	// ctx ends with the session, so that handlers stop when the connection to the peer is lost.
@@ -61,7 +63,7 @@
 // the sessions that are closed for it, which may not have started.
 func newAcceptedSession(conn net.Conn, peer Peer, mux *Mux, h *holdings, onEvict func(*Session)) (*Session, error) {
 	s := &Session{peer: peer, mux: mux, conn: newEarlyCloseConn(conn), holdings: h, onEvict: onEvict}
-	s.conn.frames = &frameMeter{hold: s.hold}
+	s.conn.frames = &frameMeter{onOpen: func() { s.hold(streamBytes) }, onData: s.expectData}
 	h.register(s)
 	s.hold(sessionBytes)
 	if _, err := s.start(yamux.Server); err != nil {
@@ -114,6 +116,35 @@
 	}
 }
 
+// expectData counts the buffers of a large data frame until its bytes are read from their stream.
+func (s *Session) expectData(n int) {
+	n = min(n, windowBytes)
+	s.unread.Add(int64(n))
+	s.hold(int64(n) * readCost)
+}
+
+// countingReader reads from a stream of a session and takes what was read from what the session holds.
+type countingReader struct {
+	session *Session
+	stream  *yamux.Stream
+}
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	unread := &r.session.unread
+	for {
+		old := unread.Load()
+		taken := min(int64(n), old)
+		if taken == 0 {
+			return n, err
+		}
+		if unread.CompareAndSwap(old, old-taken) {
+			r.session.hold(-taken * readCost)
+			return n, err
+		}
+	}
+}
+
 // Peer returns the process at the other end of the session.
 func (s *Session) Peer() Peer { return s.peer }
 
@@ -171,7 +202,7 @@
 		if s.readRequests(ctx, st, requests) {
 			cancel()
 		}
-		drain(st)
+		s.drain(st)
 		select {
 		case r := <-requests:
 			s.hold(-r.held)
@@ -197,7 +228,7 @@
 func (s *Session) readRequests(ctx context.Context, st *yamux.Stream, out chan<- request) (ended bool) {
 	for ctx.Err() == nil {
 		r := request{envelope: new(Envelope)}
-		size, err := readSize(st, MaxMessageBytes)
+		size, err := readSize(countingReader{s, st}, MaxMessageBytes)
 		if isLost(err) {
 			return true
 		}
@@ -235,7 +266,7 @@
 		reserve(min(size, windowBytes))
 		defer st.Shrink()
 	}
-	if err = readBody(st, to, size, reserve); err != nil {
+	if err = readBody(countingReader{s, st}, to, size, reserve); err != nil {
 		s.hold(-reading)
 		return 0, err
 	}
@@ -245,10 +276,10 @@
 }
 
 // drain discards what a stream still receives after its last request, so that it is not kept until the stream is closed.
-func drain(st *yamux.Stream) {
+func (s *Session) drain(st *yamux.Stream) {
 	var buf [512]byte
 	for {
-		if _, err := st.Read(buf[:]); err != nil {
+		if _, err := (countingReader{s, st}).Read(buf[:]); err != nil {
 			return
 		}
 		st.Shrink()
