crcontrol: a command refused for memory is not called too long

Callers would have seen: 400, "the command is longer than ...", for a command whose body was refused because the budget of clients is spent, though it can be sent again. Cause: every error of reading a command had that answer; since the listener is within the budget, a read may be refused.

--- a/internal/crcontrol/operator.go
+++ b/internal/crcontrol/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/citronramp/citronramp/internal/crconfig"
+	"github.com/citronramp/citronramp/internal/crintake"
 	"github.com/citronramp/citronramp/internal/crlang"
 	"github.com/citronramp/citronramp/internal/crprint"
 	"github.com/citronramp/citronramp/internal/crwire"
@@ -51,7 +53,7 @@
 	}
 	line, err := io.ReadAll(http.MaxBytesReader(w, r.Body, crlang.MaxLine+1))
 	if err != nil {
-		writeResult(w, render(crprint.ErrorOf(crcode.New(crcode.Syntax, "the command is longer than %d bytes", crlang.MaxLine)), crcode.Syntax, json), json)
+		writeResult(w, renderError(readError(err), json), json)
 		return
 	}
 	operator := r.Header.Get(headerOperator)
@@ -61,6 +63,18 @@
 	writeResult(w, c.runCommand(r.Context(), &crwire.CommandRequest{Line: string(line), Operator: operator, Json: json}, true), json)
 }
 
+// readError returns the error for a command that was not read completely and has no effect.
+func readError(err error) error {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return crcode.New(crcode.Syntax, "the command is longer than %d bytes", crlang.MaxLine)
+	case errors.Is(err, crintake.ErrRefused):
+		return crcode.New(crcode.Overloaded, "the memory for commands is in use")
+	}
+	return crcode.New(crcode.Syntax, "the command ended early")
+}
+
 func writeResult(w http.ResponseWriter, resp *crwire.CommandResponse, json bool) {
 	code := crcode.Code(resp.GetCode())
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
