--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -29,6 +29,7 @@
 	allowed int
 }{
 	"slow-server": {slowServer, 0},
+	"hedge":       {hedgedAnswers, 3},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
