--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -28,8 +28,9 @@
 	play    play
 	allowed int
 }{
-	"slow-server": {slowServer, 0},
-	"hedge":       {hedgedAnswers, 3},
+	"slow-server":   {slowServer, 0},
+	"hedge":         {hedgedAnswers, 3},
+	"failed-answer": {failedAnswers, 3},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
